--- /dev/null
+++ b/cmd/rwload/main.go
@@ -0,0 +1,12 @@
+// Command rwload offers load and checks every answer.
+package main
+
+import (
+	"os"
+
+	"ragwortwall/internal/rwcommand"
+)
+
+func main() {
+	os.Exit(rwcommand.MainLoad(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/rwstandin/main.go
@@ -0,0 +1,13 @@
+// Command rwstandin runs a stand-in for the platform, a model engine, or a plain
+// service.
+package main
+
+import (
+	"os"
+
+	"ragwortwall/internal/rwcommand"
+)
+
+func main() {
+	os.Exit(rwcommand.MainStandin(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/rwcommand/load.go
@@ -0,0 +1,82 @@
+package rwcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+
+	"ragwortwall/internal/rwload"
+)
+
+type loadOptions struct {
+	Targets  string        `long:"targets" required:"yes" description:"URLs of instances, joined by commas"`
+	Key      string        `long:"key" required:"yes" description:"API key"`
+	Model    string        `long:"model" default:"lettering" description:"the model's name"`
+	Rate     float64       `long:"rate" description:"arrivals a second; all at once if zero"`
+	Requests int           `long:"requests" default:"100" description:"requests in all"`
+	Tokens   int           `long:"tokens" default:"200" description:"most tokens of an answer"`
+	Prompt   int           `long:"prompt" default:"2000" description:"bytes of a prompt"`
+	Shared   float64       `long:"shared" default:"0.8" description:"share of a prompt that its house style makes up"`
+	Styles   int           `long:"styles" default:"10" description:"number of house styles"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of prompts and arrivals"`
+	Repeat   bool          `long:"repeat" description:"come back after a refusal, when it says"`
+	Storm    bool          `long:"storm" description:"come back after a refusal at once"`
+	Patience time.Duration `long:"patience" default:"2m" description:"a caller gives up after this"`
+	Slow     time.Duration `long:"slow" description:"pause of the reader after each event"`
+	Orders   float64       `long:"orders" description:"share of requests that are orders"`
+	Path     string        `long:"path" default:"/orders/new" description:"path of orders"`
+	JSON     bool          `long:"json" description:"print the report as JSON"`
+	Quiet    bool          `long:"quiet" description:"show no progress"`
+}
+
+// MainLoad runs the program rwload and returns its exit code: 0 if every answer
+// was whole and right.
+func MainLoad(args []string, out, err io.Writer) int {
+	var opts loadOptions
+	parser := flags.NewNamedParser("rwload", flags.HelpFlag|flags.PassDoubleDash)
+	if _, e := parser.AddGroup("rwload", "", &opts); e != nil {
+		panic(e)
+	}
+	o := output{out: out, err: err}
+	if code := run(parser, args, o); code != exitDone || opts.Key == "" {
+		return code
+	}
+	if e := opts.load(o); e != nil {
+		fmt.Fprintln(err, e)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func (c *loadOptions) load(o output) error {
+	ctx, stop := interruptible()
+	defer stop()
+	l := &rwload.Load{Options: rwload.Options{
+		Targets: strings.Split(c.Targets, ","), Key: c.Key, Model: c.Model, Rate: c.Rate,
+		Requests: c.Requests, Tokens: c.Tokens, Prompt: c.Prompt, Shared: c.Shared,
+		Styles: c.Styles, Seed: c.Seed, Repeat: c.Repeat, Storm: c.Storm,
+		Patience: c.Patience, Slow: c.Slow, Orders: c.Orders, Path: c.Path,
+	}}
+	if !c.Quiet {
+		l.Progress = func(r rwload.Report) {
+			fmt.Fprintf(o.err, "%6.1fs  %d whole  %d wrong  %d refusals  %d reconnects\n", r.Seconds, r.Whole, r.Wrong, r.Refusals, r.Reconnects)
+		}
+	}
+	report := l.Run(ctx)
+	if c.JSON {
+		if err := json.NewEncoder(o.out).Encode(report); err != nil {
+			return errors.Trace(err)
+		}
+	} else {
+		fmt.Fprint(o.out, report)
+	}
+	if !report.Right() {
+		return errors.Errorf("%d answers wrong, %d requests without an answer", report.Wrong, report.Unfinished)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rwcommand/main.go
@@ -0,0 +1,79 @@
+package rwcommand
+
+import (
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"ragwortwall/internal/rwconfig"
+	"ragwortwall/internal/rwnet"
+	"ragwortwall/internal/rwserve"
+)
+
+type options struct {
+	Serve serveCommand `command:"serve" description:"run an entry instance"`
+	Hash  hashCommand  `command:"hash" description:"print the form in which settings hold a key"`
+}
+
+// Main runs the program ragwortwall and returns its exit code.
+func Main(args []string, out, err io.Writer) int {
+	o := output{out: out, err: err}
+	opts := options{Hash: hashCommand{o: o}}
+	parser := flags.NewNamedParser("ragwortwall", flags.HelpFlag|flags.PassDoubleDash)
+	if _, e := parser.AddGroup("ragwortwall", "", &opts); e != nil {
+		panic(e)
+	}
+	return run(parser, args, o)
+}
+
+type serveCommand struct {
+	File      string `long:"settings" description:"JSON file with the settings of the process"`
+	Name      string `long:"name" description:"the instance's name"`
+	Zone      string `long:"zone" description:"availability zone"`
+	Callers   string `long:"callers" description:"address for callers"`
+	Instances string `long:"instances" description:"address for other instances"`
+	Operators string `long:"operators" description:"address for operators"`
+	Platform  string `long:"platform" description:"URL of the platform's API"`
+	Verbose   bool   `long:"verbose" description:"log more"`
+}
+
+// Execute runs the instance until it is told to stop.
+func (c *serveCommand) Execute([]string) error {
+	config, err := c.config()
+	if err != nil {
+		return err
+	}
+	log, err := newLog(config.Verbose)
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	instance := &rwserve.Instance{Config: config, Network: rwnet.TCP{}, Log: log.WithValues("instance", config.Name)}
+	return instance.Run(ctx)
+}
+
+// config reads the file and lays the flags over it.
+func (c *serveCommand) config() (rwconfig.Config, error) {
+	config, err := rwconfig.Read(c.File)
+	if err != nil {
+		return config, err
+	}
+	for _, f := range []struct {
+		flag   string
+		target *string
+	}{
+		{c.Name, &config.Name},
+		{c.Zone, &config.Zone},
+		{c.Callers, &config.Callers},
+		{c.Instances, &config.Instances},
+		{c.Operators, &config.Operators},
+		{c.Platform, &config.Platform},
+	} {
+		if f.flag != "" {
+			*f.target = f.flag
+		}
+	}
+	config.Verbose = config.Verbose || c.Verbose
+	return config, config.Check()
+}
--- /dev/null
+++ b/internal/rwengine/client.go
@@ -0,0 +1,217 @@
+package rwengine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwtoken"
+)
+
+const (
+	maxErrorBytes = 4 << 10
+	eventBuffer   = 4 << 10
+	eventMost     = 4 << 20
+)
+
+// Client calls engines. Its HTTP client must not retry by itself.
+type Client struct {
+	HTTP *http.Client
+}
+
+// Piece is what one event of a stream adds.
+type Piece struct {
+	Offset int // of the first token, from the stream's start
+	Tokens []rwtoken.Token
+	Prompt []uint32 // on the first event only
+	Finish string
+}
+
+// Stream is a running completion.
+type Stream struct {
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+}
+
+// Complete starts a completion at an engine's address under a stream name.
+func (c *Client) Complete(ctx context.Context, address, stream string, request Request) (*Stream, error) {
+	path := "/v1/completions"
+	if request.Messages != nil {
+		path = "/v1/chat/completions"
+	}
+	body, err := request.encode()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return c.open(ctx, http.MethodPost, "http://"+address+path, stream, body)
+}
+
+// Resume takes over a stream that the engine still holds, from an offset on.
+func (c *Client) Resume(ctx context.Context, address, stream string, offset int) (*Stream, error) {
+	target := fmt.Sprintf("http://%s/v1/streams/%s?offset=%d", address, url.PathEscape(stream), offset)
+	return c.open(ctx, http.MethodGet, target, stream, nil)
+}
+
+// Cancel ends a stream at the engine.
+func (c *Client) Cancel(ctx context.Context, address, stream string) error {
+	return c.do(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(stream), nil, nil)
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var l Load
+	return l, c.do(ctx, http.MethodGet, address, "/load", nil, &l)
+}
+
+// Order gives the engine an order.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	return c.do(ctx, http.MethodPost, address, "/orders", o, nil)
+}
+
+// Cache reads the cache events after a sequence number.
+func (c *Client) Cache(ctx context.Context, address string, after int64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	return events, c.do(ctx, http.MethodGet, address, fmt.Sprintf("/cache?after=%d", after), nil, &events)
+}
+
+func (c *Client) open(ctx context.Context, method, target, stream string, body []byte) (*Stream, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, onceReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", stream)
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, lost(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		return nil, statusError(response)
+	}
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(make([]byte, 0, eventBuffer), eventMost)
+	return &Stream{body: response.Body, scanner: scanner}, nil
+}
+
+// onceReader returns a body that net/http can't rewind and so never re-sends.
+func onceReader(body []byte) io.Reader {
+	if body == nil {
+		return nil
+	}
+	return io.MultiReader(bytes.NewReader(body))
+}
+
+func (c *Client) do(ctx context.Context, method, address, path string, body, answer any) error {
+	var content []byte
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		content = b
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, onceReader(content))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return lost(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return statusError(response)
+	}
+	if answer == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		return errors.Trace(err)
+	}
+	return errors.Trace(json.NewDecoder(response.Body).Decode(answer))
+}
+
+func statusError(response *http.Response) error {
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	kind := rwerror.KindFailed
+	switch response.StatusCode {
+	case http.StatusNotFound, http.StatusGone:
+		kind = rwerror.KindNotFound
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		kind = rwerror.KindOverloaded
+	case http.StatusBadRequest:
+		kind = rwerror.KindInvalid
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		kind = rwerror.KindConflict
+	}
+	return rwerror.New(kind, "read the backend server's log", "the backend server answered %d: %s", response.StatusCode, bytes.TrimSpace(content))
+}
+
+func lost(err error) error {
+	return rwerror.New(rwerror.KindUnavailable, "wait for another backend server", "the backend server was lost: %v", err).
+		WithRetryAfter(time.Second).WithRan(rwerror.RanUnknown).WithCause(err)
+}
+
+var dataPrefix = []byte("data:")
+
+// Next waits for the next event. It returns io.EOF after the last.
+func (s *Stream) Next() (Piece, error) {
+	for s.scanner.Scan() {
+		line := s.scanner.Bytes()
+		if !bytes.HasPrefix(line, dataPrefix) {
+			continue
+		}
+		data := bytes.TrimSpace(line[len(dataPrefix):])
+		if bytes.Equal(data, []byte("[DONE]")) {
+			return Piece{}, io.EOF
+		}
+		return parse(data)
+	}
+	if err := s.scanner.Err(); err != nil {
+		return Piece{}, lost(err)
+	}
+	return Piece{}, lost(io.ErrUnexpectedEOF)
+}
+
+// Close ends the reading; the engine may keep the stream for a while.
+func (s *Stream) Close() { _ = s.body.Close() }
+
+func parse(data []byte) (Piece, error) {
+	var chunk Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return Piece{}, rwerror.New(rwerror.KindFailed, "check the backend server's release", "the backend server sent an event that can't be read: %v", err)
+	}
+	if chunk.Error != nil {
+		return Piece{}, rwerror.New(rwerror.KindFailed, "read the backend server's log", "the backend server failed: %s", chunk.Error.Message).WithRan(rwerror.RanYes)
+	}
+	piece := Piece{Offset: chunk.Offset, Prompt: chunk.Prompt}
+	if len(chunk.Choices) == 0 {
+		return piece, nil
+	}
+	choice := chunk.Choices[0]
+	piece.Finish = choice.Finish
+	for i, id := range choice.TokenIDs {
+		token := rwtoken.Token{ID: id}
+		if choice.Logprobs != nil && i < len(choice.Logprobs.Content) {
+			token.Text = narrow(choice.Logprobs.Content[i].Bytes)
+		}
+		piece.Tokens = append(piece.Tokens, token)
+	}
+	return piece, nil
+}
+
+func narrow(numbers []int) []byte {
+	b := make([]byte, len(numbers))
+	for i, n := range numbers {
+		b[i] = byte(n)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/rwgateway/request.go
@@ -0,0 +1,226 @@
+package rwgateway
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortwall/internal/rwcursor"
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwgeneration"
+	"ragwortwall/internal/rwmember"
+)
+
+// Limits of requests.
+const (
+	MaxBody         = 2 << 20
+	maxTokens       = 65536
+	defaultTokens   = 1024
+	maxStops        = 8
+	maxStopBytes    = 256
+	maxKeyBytes     = 256
+	defaultDeadline = 15 * time.Minute
+)
+
+// The headers of requests beside the usual ones.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderCursor  = "Last-Event-ID"
+	HeaderTimeout = "Request-Timeout" // seconds until the caller has no more use for the answer
+)
+
+// completion is the body of a request for a completion or chat completion.
+type completion struct {
+	Model          string          `json:"model"`
+	Prompt         json.RawMessage `json:"prompt,omitempty"`
+	Messages       json.RawMessage `json:"messages,omitempty"`
+	MaxTokens      *int            `json:"max_tokens,omitempty"`
+	MaxCompletion  *int            `json:"max_completion_tokens,omitempty"`
+	Stream         bool            `json:"stream,omitempty"`
+	StreamOptions  streamOptions   `json:"stream_options,omitempty"`
+	Stop           json.RawMessage `json:"stop,omitempty"`
+	N              *int            `json:"n,omitempty"`
+	Priority       int             `json:"priority,omitempty"`
+	Temperature    *float64        `json:"temperature,omitempty"`
+	TopP           *float64        `json:"top_p,omitempty"`
+	Seed           *int64          `json:"seed,omitempty"`
+	Presence       *float64        `json:"presence_penalty,omitempty"`
+	Frequency      *float64        `json:"frequency_penalty,omitempty"`
+	LogitBias      json.RawMessage `json:"logit_bias,omitempty"`
+	ResponseFormat json.RawMessage `json:"response_format,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage,omitempty"`
+}
+
+// sampling is what is handed to the engine as it came.
+type sampling struct {
+	Temperature    *float64        `json:"temperature,omitempty"`
+	TopP           *float64        `json:"top_p,omitempty"`
+	Seed           *int64          `json:"seed,omitempty"`
+	Presence       *float64        `json:"presence_penalty,omitempty"`
+	Frequency      *float64        `json:"frequency_penalty,omitempty"`
+	LogitBias      json.RawMessage `json:"logit_bias,omitempty"`
+	ResponseFormat json.RawMessage `json:"response_format,omitempty"`
+}
+
+// parseCompletion reads and checks a body.
+func parseCompletion(body []byte, chat bool) (completion, error) {
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		return c, invalid("correct the JSON", "the body can't be read: %v", err)
+	}
+	switch {
+	case c.Model == "":
+		return c, invalid("write the model's name", "the field model is missing")
+	case chat && !isList(c.Messages):
+		return c, invalid("write a list of messages", "the field messages is missing or no list")
+	case !chat && !isText(c.Prompt):
+		return c, invalid("write the prompt as one string", "the field prompt is missing or no string")
+	case c.N != nil && *c.N != 1:
+		return c, invalid("ask once for each answer", "n other than 1 is not served")
+	}
+	if n := c.limit(); n < 1 || n > maxTokens {
+		return c, invalid("write max_tokens from 1 to "+strconv.Itoa(maxTokens), "max_tokens is %d", n)
+	}
+	_, err := c.stops()
+	return c, err
+}
+
+func invalid(remedy, format string, args ...any) error {
+	return rwerror.New(rwerror.KindInvalid, remedy, format, args...)
+}
+
+func isList(raw json.RawMessage) bool { return bytes.HasPrefix(bytes.TrimSpace(raw), []byte("[")) }
+
+func isText(raw json.RawMessage) bool { return bytes.HasPrefix(bytes.TrimSpace(raw), []byte(`"`)) }
+
+func (c completion) limit() int {
+	switch {
+	case c.MaxCompletion != nil:
+		return *c.MaxCompletion
+	case c.MaxTokens != nil:
+		return *c.MaxTokens
+	default:
+		return defaultTokens
+	}
+}
+
+// stops reads the field stop, which is a string or a list of strings.
+func (c completion) stops() ([]string, error) {
+	if len(c.Stop) == 0 || string(c.Stop) == "null" {
+		return nil, nil
+	}
+	var list []string
+	var one string
+	if json.Unmarshal(c.Stop, &one) == nil {
+		list = []string{one}
+	} else if json.Unmarshal(c.Stop, &list) != nil {
+		return nil, invalid("write a string or a list of strings", "the field stop can't be read")
+	}
+	if len(list) > maxStops {
+		return nil, invalid("write at most "+strconv.Itoa(maxStops), "there are %d stop sequences", len(list))
+	}
+	for _, s := range list {
+		if s == "" || len(s) > maxStopBytes {
+			return nil, invalid("write 1 to "+strconv.Itoa(maxStopBytes)+" bytes", "a stop sequence has %d bytes", len(s))
+		}
+	}
+	return list, nil
+}
+
+func (c completion) prompt(chat bool) json.RawMessage {
+	raw := c.Prompt
+	if chat {
+		raw = c.Messages
+	}
+	var compact bytes.Buffer
+	if json.Compact(&compact, raw) != nil {
+		return raw
+	}
+	return compact.Bytes()
+}
+
+func (c completion) samplingJSON() json.RawMessage {
+	body, err := json.Marshal(sampling{
+		Temperature: c.Temperature, TopP: c.TopP, Seed: c.Seed, Presence: c.Presence,
+		Frequency: c.Frequency, LogitBias: c.LogitBias, ResponseFormat: c.ResponseFormat,
+	})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// fingerprint identifies the request by what it asks for. Whether the answer is
+// streamed makes no difference.
+func (c completion) fingerprint(chat bool, organisation string) uint64 {
+	h := xxhash.New()
+	for _, part := range [][]byte{
+		[]byte(organisation), []byte(c.Model), c.prompt(chat), c.samplingJSON(), c.Stop,
+		strconv.AppendInt(nil, int64(c.limit()), 10), strconv.AppendBool(nil, chat),
+	} {
+		_, _ = h.Write(strconv.AppendInt(nil, int64(len(part)), 10))
+		_, _ = h.Write(part)
+	}
+	return h.Sum64()
+}
+
+// identity makes a generation's identity. The first half is the request's
+// fingerprint and decides the primary, so copies of one request meet there. The
+// second half is the caller's key, or chance where there is none.
+func identity(fingerprint uint64, organisation, key string) rwcursor.ID {
+	var id rwcursor.ID
+	binary.LittleEndian.PutUint64(id[:8], fingerprint)
+	second := rand.Uint64()
+	if key != "" {
+		second = keyDigest(organisation, key)
+	}
+	binary.LittleEndian.PutUint64(id[8:], second)
+	return id
+}
+
+func keyDigest(organisation, key string) uint64 {
+	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
+	return binary.LittleEndian.Uint64(sum[:])
+}
+
+// placement is the key by which a generation finds its primary.
+func placement(id rwcursor.ID) uint64 { return rwmember.PlacementKey(id[:]) }
+
+// deadline is until when the caller has use for the answer.
+func deadline(r *http.Request) (time.Time, error) {
+	text := strings.TrimSpace(r.Header.Get(HeaderTimeout))
+	if text == "" {
+		return time.Now().Add(defaultDeadline), nil
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSuffix(text, "s"), 64)
+	if err != nil || !(seconds > 0) || seconds > defaultDeadline.Seconds() {
+		return time.Time{}, invalid("write seconds from 0 to "+strconv.Itoa(int(defaultDeadline.Seconds())), "the header %s is %q", HeaderTimeout, text)
+	}
+	return time.Now().Add(time.Duration(seconds * float64(time.Second))), nil
+}
+
+// spec is the description of the generation that a request asks for.
+func (c completion) spec(chat bool, id rwcursor.ID, fingerprint uint64) rwgeneration.Spec {
+	stops, _ := c.stops() // checked by parseCompletion
+	return rwgeneration.Spec{
+		ID:          id,
+		Fingerprint: fingerprint,
+		Chat:        chat,
+		Prompt:      c.prompt(chat),
+		Limit:       c.limit(),
+		Stop:        stops,
+		Sampling:    c.samplingJSON(),
+		Priority:    c.Priority,
+	}
+}
--- /dev/null
+++ b/internal/rwgeneration/place.go
@@ -0,0 +1,233 @@
+package rwgeneration
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ragwortwall/internal/rwchoice"
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwslot"
+	"ragwortwall/internal/rwtree"
+	"ragwortwall/pkg/rwset"
+)
+
+const (
+	quickTries = 2 // servers that are asked for a free slot before waiting at one
+	placePause = 200 * time.Millisecond
+)
+
+// place finds a server with a slot for the next attempt.
+func (p *Primary) place(ctx context.Context, g *Generation, avoid rwset.Set[string]) (*attempt, error) {
+	tree := p.Tree()
+	route, ok := tree.Route(g.Spec.Route)
+	if !ok {
+		return nil, rwerror.New(rwerror.KindNotFound, "ask the operators for the route's new name", "the route %s is gone", g.Spec.Route)
+	}
+	if a, ok := p.adopted(g, tree); ok {
+		return a, nil
+	}
+	count, _, _ := g.Journal.State()
+	resume := count > 0
+	wait := patience(g, route, resume)
+	until := time.Now().Add(wait)
+	for {
+		a, err := p.placeOnce(ctx, g, tree, route, avoid, time.Until(until))
+		if err == nil || ctx.Err() != nil {
+			return a, err
+		}
+		if !resume || time.Now().After(until) {
+			return nil, err
+		}
+		// A caller has part of the answer: keep trying for as long as it waits.
+		avoid.Clear()
+		sleep(ctx, placePause)
+		tree = p.Tree()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// adopted returns the attempt that goes on with the engine's live stream, when
+// the generation was just taken over from a lost primary.
+func (p *Primary) adopted(g *Generation, tree rwtree.Tree) (*attempt, bool) {
+	lineage := g.Lineage()
+	if lineage.Stream == "" || !g.takeStream() {
+		return nil, false
+	}
+	server, ok := tree.Server(lineage.Server)
+	if !ok {
+		return nil, false
+	}
+	p.Slots.Adopt(server.Name, p.ask(g, lineage.Stream, 0, true))
+	return p.newAttempt(server, lineage, true), true
+}
+
+// takeStream reports, once, that the stream in the lineage is still to be
+// taken over.
+func (g *Generation) takeStream() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	taken := g.taken
+	g.taken = true
+	return !taken
+}
+
+func (p *Primary) ask(g *Generation, lease string, wait time.Duration, resume bool) rwslot.Ask {
+	count, _, _ := g.Journal.State()
+	return rwslot.Ask{
+		Lease:        lease,
+		Organisation: g.Spec.Organisation,
+		Weight:       g.Spec.Weight,
+		Priority:     g.Spec.Priority,
+		Tokens:       g.Spec.Limit - count,
+		Patience:     wait,
+		Resume:       resume,
+		Fingerprint:  g.Spec.Fingerprint,
+		Suspect:      p.Book.Suspect(rwpoison.Fingerprint(g.Spec.Fingerprint)),
+	}
+}
+
+func (p *Primary) placeOnce(ctx context.Context, g *Generation, tree rwtree.Tree, route rwtree.NamedRoute, avoid rwset.Set[string], wait time.Duration) (*attempt, error) {
+	only, changed := p.trials.enter(g)
+	if changed != nil && only == "" {
+		if !await(ctx.Done(), changed, wait) {
+			return nil, busy(route)
+		}
+		return p.placeOnce(ctx, g, tree, route, avoid, wait)
+	}
+	version := p.version(g, route)
+	candidates := p.candidates(tree, route, version, avoid)
+	if only != "" {
+		candidates = slices.DeleteFunc(candidates, func(c rwchoice.Candidate) bool { return c.Name != only })
+	}
+	if len(candidates) == 0 {
+		return nil, busy(route)
+	}
+	ordered := rwchoice.Order(rwchoice.Prefix(g.Spec.Prompt), candidates)
+	return p.acquire(ctx, g, tree, version, ordered, wait)
+}
+
+func busy(route rwtree.NamedRoute) error {
+	return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After",
+		"no backend server of route %s can take the request", route.Key()).WithRetryAfter(time.Second)
+}
+
+// version is the one the generation is pinned to, or the route's choice while
+// nothing has been delivered.
+func (p *Primary) version(g *Generation, route rwtree.NamedRoute) string {
+	count, _, _ := g.Journal.State()
+	if count > 0 {
+		return g.Lineage().Version
+	}
+	return p.Versions.Pick(route, g.Spec.ID)
+}
+
+// candidates returns the route's servers that have the version and answer.
+func (p *Primary) candidates(tree rwtree.Tree, route rwtree.NamedRoute, version string, avoid rwset.Set[string]) []rwchoice.Candidate {
+	var all, fresh []rwchoice.Candidate
+	for _, name := range route.ServerNames() {
+		server, ok := tree.Server(name)
+		if !ok || server.Leaving {
+			continue
+		}
+		load, known := p.Slots.Load(name)
+		versions := load.Versions
+		if !known || len(versions) == 0 {
+			versions = server.Versions
+		}
+		if load.Down || load.Leaving || !slices.Contains(versions, version) {
+			continue
+		}
+		c := rwchoice.Candidate{Name: name, Load: load}
+		all = append(all, c)
+		if !avoid.Has(name) {
+			fresh = append(fresh, c)
+		}
+	}
+	if len(fresh) == 0 {
+		return all
+	}
+	return fresh
+}
+
+// acquire asks the preferred servers for a free slot, then waits at the one
+// where the wait is shortest.
+func (p *Primary) acquire(ctx context.Context, g *Generation, tree rwtree.Tree, version string, ordered []rwchoice.Candidate, wait time.Duration) (*attempt, error) {
+	count, _, _ := g.Journal.State()
+	resume := count > 0
+	number := g.Lineage().Attempt + 1
+	var refusal error
+	for i, c := range ordered {
+		patience := time.Duration(0)
+		last := i >= quickTries || i == len(ordered)-1
+		if last {
+			c = shortestWait(ordered)
+			patience = wait
+		}
+		stream := streamName(g, number)
+		err := p.Slots.Acquire(ctx, c.Name, p.ask(g, stream, patience, resume))
+		if err == nil {
+			server, _ := tree.Server(c.Name)
+			return p.begin(g, server, version, stream, number), nil
+		}
+		refusal = soonest(refusal, err)
+		if last {
+			break
+		}
+	}
+	return nil, refusal
+}
+
+// shortestWait is the candidate whose queue drains first.
+func shortestWait(candidates []rwchoice.Candidate) rwchoice.Candidate {
+	best := candidates[0]
+	for _, c := range candidates[1:] {
+		if expectedWait(c.Load) < expectedWait(best.Load) {
+			best = c
+		}
+	}
+	return best
+}
+
+func expectedWait(l rwslot.Load) time.Duration {
+	turns := l.Held + l.Waiting + 1 - l.Limit
+	if l.Limit == 0 || turns <= 0 {
+		return 0
+	}
+	return time.Duration(turns) * max(l.Drain, time.Millisecond)
+}
+
+// soonest keeps the refusal that lets the caller come back first.
+func soonest(a, b error) error {
+	if a == nil || rwerror.As(b).RetryAfter < rwerror.As(a).RetryAfter {
+		return b
+	}
+	return a
+}
+
+func (p *Primary) begin(g *Generation, server rwtree.NamedServer, version, stream string, number int) *attempt {
+	count, _, _ := g.Journal.State()
+	lineage := g.setLineage(func(l *Lineage) {
+		l.Version = version
+		l.Server = server.Name
+		l.Stream = stream
+		l.Base = count
+		l.Attempt = number
+	})
+	p.trials.placed(g, server.Name)
+	return p.newAttempt(server, lineage, false)
+}
+
+func (p *Primary) newAttempt(server rwtree.NamedServer, lineage Lineage, resume bool) *attempt {
+	load, _ := p.Slots.Load(server.Name)
+	return &attempt{server: server, lineage: lineage, resume: resume, started: time.Now(), incarnation: load.Incarnation}
+}
--- /dev/null
+++ b/internal/rwgeneration/serve.go
@@ -0,0 +1,102 @@
+package rwgeneration
+
+import (
+	"context"
+
+	"ragwortwall/internal/rwcursor"
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwtoken"
+	"ragwortwall/internal/rwwire"
+)
+
+// ChunkSender is the stream of chunks to a gateway.
+type ChunkSender interface {
+	Context() context.Context
+	Send(c *rwwire.Chunk) error
+}
+
+// Serve answers a gateway that starts, joins, resumes or hands over a
+// generation, and streams it. Its errors are typed faults in the stream.
+func (p *Primary) Serve(r *rwwire.StartRequest, out ChunkSender) error {
+	g, err := p.find(r)
+	if err != nil {
+		return out.Send(&rwwire.Chunk{Finish: &rwwire.Finish{Fault: rwwire.NewFault(rwerror.As(err))}})
+	}
+	reader := g.attach(int(r.Offset))
+	defer g.detach(reader)
+	return p.stream(g, reader, int(r.Offset), out)
+}
+
+// find returns the generation that a gateway asks for and checks what it holds.
+func (p *Primary) find(r *rwwire.StartRequest) (*Generation, error) {
+	g, err := p.lookUp(r)
+	if err != nil {
+		return nil, err
+	}
+	return g, CheckJoin(g.Journal, int(r.Offset), rwtoken.Digest(r.Digest))
+}
+
+func (p *Primary) lookUp(r *rwwire.StartRequest) (*Generation, error) {
+	if r.Lineage != nil {
+		tokens, err := rwwire.UnpackTokens(r.Journal)
+		if err != nil {
+			return nil, err
+		}
+		return p.Adopt(FromWire(r.Generation), rwtoken.Run(r.Lineage.Run), lineageFromWire(r.Lineage), tokens)
+	}
+	if !r.Resume {
+		return p.Start(FromWire(r.Generation))
+	}
+	var id rwcursor.ID
+	copy(id[:], r.Generation.GetId())
+	g, ok := p.Find(id)
+	if !ok || g.Spec.Organisation != r.Generation.GetOrganisation() {
+		return nil, rwerror.New(rwerror.KindNotFound, "ask anew", "this instance does not know the generation")
+	}
+	return g, nil
+}
+
+func (p *Primary) stream(g *Generation, reader *reader, offset int, out ChunkSender) error {
+	var sent Lineage
+	first := true
+	for {
+		tokens, finish, err := waitBeat(out.Context(), g.Journal, offset)
+		if err != nil {
+			return err
+		}
+		// Read after the tokens, so that it is at least as new as they are.
+		lineage, moved, _ := g.state()
+		chunk := &rwwire.Chunk{Offset: int32(offset), Tokens: rwwire.PackTokens(tokens), Moved: moved && finish == nil}
+		if first || changed(lineage, sent) {
+			chunk.Lineage = lineage.toWire(uint64(g.Journal.Run()))
+			sent = lineage
+			first = false
+		}
+		if finish != nil {
+			chunk.Finish = &rwwire.Finish{Reason: finish.Reason, Fault: rwwire.NewFault(finish.Err)}
+		}
+		if err := out.Send(chunk); err != nil {
+			return err
+		}
+		offset += len(tokens)
+		g.advance(reader, offset)
+		if finish != nil || chunk.Moved {
+			return nil
+		}
+	}
+}
+
+func changed(a, b Lineage) bool {
+	return a.Stream != b.Stream || len(a.Prompt) != len(b.Prompt)
+}
+
+// waitBeat waits for tokens or the end, but no longer than a heartbeat.
+func waitBeat(ctx context.Context, j *rwtoken.Journal, offset int) ([]rwtoken.Token, *rwtoken.Finish, error) {
+	beat, cancel := context.WithTimeout(ctx, heartbeat)
+	defer cancel()
+	tokens, finish, err := j.Wait(beat, offset, chunkTokens)
+	if err != nil && ctx.Err() == nil {
+		return nil, nil, nil
+	}
+	return tokens, finish, err
+}
--- /dev/null
+++ b/internal/rwgeneration/spec.go
@@ -0,0 +1,97 @@
+package rwgeneration
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"ragwortwall/internal/rwcursor"
+	"ragwortwall/internal/rwwire"
+)
+
+// Spec describes a generation. It does not change while the generation runs.
+type Spec struct {
+	ID           rwcursor.ID
+	Organisation string // team and name joined by a slash
+	Weight       int
+	Route        string // team and name joined by a slash
+	Fingerprint  uint64 // of the caller's body
+	Chat         bool
+	Prompt       json.RawMessage
+	Limit        int // most tokens
+	Stop         []string
+	Sampling     json.RawMessage
+	Priority     int
+	Deadline     time.Time
+	Zone         string // the gateway's availability zone
+	Keyed        bool   // the caller sent an Idempotency-Key
+}
+
+// Text is the identity in hex, for logs.
+func Text(id rwcursor.ID) string { return hex.EncodeToString(id[:]) }
+
+// ToWire returns the message form.
+func (s Spec) ToWire() *rwwire.Generation {
+	return &rwwire.Generation{
+		Id:           s.ID[:],
+		Organisation: s.Organisation,
+		Weight:       int32(s.Weight),
+		Route:        s.Route,
+		Body:         s.Fingerprint,
+		Chat:         s.Chat,
+		Prompt:       s.Prompt,
+		Limit:        int32(s.Limit),
+		Stop:         s.Stop,
+		Sampling:     s.Sampling,
+		Priority:     int32(s.Priority),
+		Deadline:     time.Until(s.Deadline).Milliseconds(),
+		Zone:         s.Zone,
+		Keyed:        s.Keyed,
+	}
+}
+
+// FromWire reads the message form. The deadline travels as the time left, so
+// that no two clocks are compared.
+func FromWire(g *rwwire.Generation) Spec {
+	s := Spec{
+		Organisation: g.Organisation,
+		Weight:       int(g.Weight),
+		Route:        g.Route,
+		Fingerprint:  g.Body,
+		Chat:         g.Chat,
+		Prompt:       g.Prompt,
+		Limit:        int(g.Limit),
+		Stop:         g.Stop,
+		Sampling:     g.Sampling,
+		Priority:     int(g.Priority),
+		Deadline:     time.Now().Add(time.Duration(g.Deadline) * time.Millisecond),
+		Zone:         g.Zone,
+		Keyed:        g.Keyed,
+	}
+	copy(s.ID[:], g.Id)
+	return s
+}
+
+// Lineage is where a generation's tokens come from.
+type Lineage struct {
+	Version string
+	Server  string
+	Stream  string // the engine's name of the stream, which is also the lease's
+	Base    int    // offset in the journal where the stream began
+	Attempt int
+	Prompt  []uint32 // the prompt's token numbers, once an engine has told them
+}
+
+func (l Lineage) toWire(run uint64) *rwwire.Lineage {
+	return &rwwire.Lineage{
+		Run: run, Version: l.Version, Server: l.Server, Stream: l.Stream,
+		Attempt: int32(l.Attempt), Prompt: l.Prompt, Base: int32(l.Base),
+	}
+}
+
+func lineageFromWire(l *rwwire.Lineage) Lineage {
+	return Lineage{
+		Version: l.Version, Server: l.Server, Stream: l.Stream,
+		Attempt: int(l.Attempt), Prompt: l.Prompt, Base: int(l.Base),
+	}
+}
--- /dev/null
+++ b/internal/rwgeneration/stop.go
@@ -0,0 +1,101 @@
+package rwgeneration
+
+import (
+	"bytes"
+
+	"ragwortwall/internal/rwtoken"
+)
+
+// stopMatcher holds back tokens whose text may be the beginning of a stop
+// sequence. Nothing held back is written to the journal, so a continuation on
+// another server begins where no stop sequence is half seen.
+type stopMatcher struct {
+	stops   [][]byte
+	pending []rwtoken.Token
+	text    []byte // of the pending tokens
+}
+
+func newStopMatcher(stops []string) *stopMatcher {
+	m := &stopMatcher{}
+	for _, s := range stops {
+		if s != "" {
+			m.stops = append(m.stops, []byte(s))
+		}
+	}
+	return m
+}
+
+// push takes in a token and returns those that are now safe to deliver, and
+// whether a stop sequence was found. Text from the stop sequence on is cut.
+func (m *stopMatcher) push(t rwtoken.Token) ([]rwtoken.Token, bool) {
+	if len(m.stops) == 0 {
+		return []rwtoken.Token{t}, false
+	}
+	m.pending = append(m.pending, t)
+	m.text = append(m.text, t.Text...)
+	if at := m.find(); at >= 0 {
+		return m.cut(at), true
+	}
+	return m.release(len(m.text) - m.partial()), false
+}
+
+// flush returns all that is held back: the generation ended without a stop.
+func (m *stopMatcher) flush() []rwtoken.Token { return m.release(len(m.text)) }
+
+func (m *stopMatcher) find() int {
+	first := -1
+	for _, s := range m.stops {
+		at := bytes.Index(m.text, s)
+		if at >= 0 && (first < 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// partial returns the length of the longest end of the text that a stop
+// sequence begins with.
+func (m *stopMatcher) partial() int {
+	longest := 0
+	for _, s := range m.stops {
+		for n := min(len(s)-1, len(m.text)); n > longest; n-- {
+			if bytes.HasSuffix(m.text, s[:n]) {
+				longest = n
+			}
+		}
+	}
+	return longest
+}
+
+// release takes out the tokens that end within the first size bytes.
+func (m *stopMatcher) release(size int) []rwtoken.Token {
+	n, end := 0, 0
+	for n < len(m.pending) && end+len(m.pending[n].Text) <= size {
+		end += len(m.pending[n].Text)
+		n++
+	}
+	ready := m.pending[:n:n]
+	m.pending = m.pending[n:]
+	m.text = m.text[end:]
+	return ready
+}
+
+// cut returns the tokens up to a position in the text, the last one shortened.
+func (m *stopMatcher) cut(at int) []rwtoken.Token {
+	ready := m.release(at)
+	at -= textLength(ready)
+	if at > 0 && len(m.pending) > 0 {
+		last := m.pending[0]
+		last.Text = last.Text[:at:at]
+		ready = append(ready, last)
+	}
+	return ready
+}
+
+func textLength(tokens []rwtoken.Token) int {
+	n := 0
+	for _, t := range tokens {
+		n += len(t.Text)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/rwjson/duration.go
@@ -0,0 +1,38 @@
+package rwjson
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Duration is a duration that is written in JSON as text, such as "300ms".
+type Duration time.Duration
+
+// MarshalJSON writes the duration as text.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads the duration from text.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var text string
+	if err := json.Unmarshal(b, &text); err != nil {
+		return errors.Errorf("a duration is written as text, such as \"300ms\"")
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Errorf("%q is no duration; write one such as \"300ms\"", text)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// Or returns the duration, or fallback when it is zero.
+func (d Duration) Or(fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return time.Duration(d)
+}
--- /dev/null
+++ b/internal/rwserve/http.go
@@ -0,0 +1,88 @@
+package rwserve
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"ragwortwall/internal/rwerror"
+)
+
+// callersHandler is the callers' HTTP interface.
+func (i *Instance) callersHandler() http.Handler {
+	app := newApp()
+	app.Post("/v1/completions", func(ctx iris.Context) {
+		i.gateway.ServeCompletion(ctx.ResponseWriter(), ctx.Request(), false)
+	})
+	app.Post("/v1/chat/completions", func(ctx iris.Context) {
+		i.gateway.ServeCompletion(ctx.ResponseWriter(), ctx.Request(), true)
+	})
+	app.Get("/v1/generations", func(ctx iris.Context) {
+		i.gateway.ServeResume(ctx.ResponseWriter(), ctx.Request())
+	})
+	app.Get("/v1/models", func(ctx iris.Context) {
+		i.gateway.ServeModels(ctx.ResponseWriter(), ctx.Request())
+	})
+	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
+	app.Get("/readyz", func(ctx iris.Context) {
+		if err := i.Ready(); err != nil {
+			ctx.StatusCode(http.StatusServiceUnavailable)
+			_, _ = ctx.WriteString(err.Error() + "\n")
+			return
+		}
+		_, _ = ctx.WriteString("ready\n")
+	})
+	app.Any("/{path:path}", func(ctx iris.Context) {
+		i.gateway.ServeService(ctx.ResponseWriter(), ctx.Request())
+	})
+	return build(app)
+}
+
+// operatorsHandler is the operators' HTTP interface.
+func (i *Instance) operatorsHandler() http.Handler {
+	app := newApp()
+	app.Get("/state", func(ctx iris.Context) {
+		if !i.operator(ctx) {
+			return
+		}
+		writeJSON(ctx.ResponseWriter(), i.State())
+	})
+	app.Get("/debug/vars", iris.FromStd(expvar.Handler()))
+	return build(app)
+}
+
+func newApp() *iris.Application {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutBanner, iris.WithoutStartupLog, iris.WithoutPathCorrection, iris.WithoutServerError(iris.ErrServerClosed))
+	return app
+}
+
+// build readies the routes. It panics when they can't be, which is a fault of
+// the program.
+func build(app *iris.Application) http.Handler {
+	if err := app.Build(); err != nil {
+		panic(err)
+	}
+	return app
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v)
+}
+
+// operator checks that the request comes from an operator, and answers it if
+// not.
+func (i *Instance) operator(ctx iris.Context) bool {
+	key := ctx.GetHeader("Operator-Key")
+	if _, _, ok := i.settings.Tree().Operator(key); ok {
+		return true
+	}
+	rwerror.Write(ctx.ResponseWriter(), rwerror.New(rwerror.KindUnauthorized, "send the header Operator-Key with a key that settings name", "no operator has this key"))
+	return false
+}
--- /dev/null
+++ b/internal/rwserve/state.go
@@ -0,0 +1,102 @@
+package rwserve
+
+import (
+	"time"
+
+	"ragwortwall/internal/rwgeneration"
+	"ragwortwall/internal/rwmember"
+	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwslot"
+)
+
+// State is the dump of an instance's state.
+type State struct {
+	Instance    rwmember.Peer          `json:"instance"`
+	Incarnation uint64                 `json:"incarnation"`
+	Uptime      string                 `json:"uptime"`
+	Leaving     bool                   `json:"leaving"`
+	Ready       string                 `json:"ready"`
+	Majority    bool                   `json:"majority"`
+	Members     []rwmember.Member      `json:"members"`
+	Settings    map[string]int64       `json:"settings"` // generation of each subtree
+	Refused     map[string]string      `json:"refused,omitempty"`
+	Owned       map[string]rwslot.Load `json:"owned"` // load of the backend servers owned here
+	Slots       int                    `json:"slots"` // held by generations of this primary
+	Answers     int                    `json:"answers"`
+	Journals    int                    `json:"journals"` // bytes
+	Generations []GenerationState      `json:"generations"`
+	Budgets     map[string]float64     `json:"budgets"`
+	Suspicions  []rwpoison.Suspicion   `json:"suspicions"`
+	Counters    map[string]int64       `json:"counters"`
+}
+
+// GenerationState is the state of one generation at its primary.
+type GenerationState struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Route        string `json:"route"`
+	Version      string `json:"version"`
+	Server       string `json:"server"`
+	Attempt      int    `json:"attempt"`
+	Tokens       int    `json:"tokens"`
+	Finish       string `json:"finish,omitempty"`
+}
+
+const generationsDumped = 1000
+
+// State returns the dump.
+func (i *Instance) State() State {
+	s := State{
+		Instance:    i.Config.Peer(),
+		Incarnation: i.incarnation,
+		Uptime:      time.Since(i.started).Round(time.Millisecond).String(),
+		Leaving:     i.view.Leaving(),
+		Ready:       "yes",
+		Majority:    i.view.Majority(),
+		Members:     i.view.Members(),
+		Settings:    map[string]int64{},
+		Refused:     i.settings.Refused(),
+		Owned:       i.owner.Loads(),
+		Slots:       i.slots.Held(),
+		Answers:     i.gateway.Active(),
+		Journals:    i.primary.JournalBytes(),
+		Budgets:     i.budget.Balances(),
+		Suspicions:  i.book.Known(),
+		Counters:    i.counters.Values(),
+	}
+	if err := i.Ready(); err != nil {
+		s.Ready = err.Error()
+	}
+	tree := i.settings.Tree()
+	for _, name := range tree.Names() {
+		s.Settings[name] = tree.Generation(name)
+	}
+	for _, g := range i.primary.All() {
+		if len(s.Generations) == generationsDumped {
+			break
+		}
+		s.Generations = append(s.Generations, generationState(g))
+	}
+	return s
+}
+
+func generationState(g *rwgeneration.Generation) GenerationState {
+	lineage := g.Lineage()
+	count, _, finish := g.Journal.State()
+	s := GenerationState{
+		ID:           rwgeneration.Text(g.Spec.ID),
+		Organisation: g.Spec.Organisation,
+		Route:        g.Spec.Route,
+		Version:      lineage.Version,
+		Server:       lineage.Server,
+		Attempt:      lineage.Attempt,
+		Tokens:       count,
+	}
+	if finish != nil {
+		s.Finish = finish.Reason
+		if finish.Err != nil {
+			s.Finish = string(finish.Err.Kind)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/rwslot/client.go
@@ -0,0 +1,292 @@
+package rwslot
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwmember"
+	"ragwortwall/internal/rwwire"
+)
+
+const (
+	callMargin   = 700 * time.Millisecond // a call may take this beyond the ask's patience
+	renewTimeout = 700 * time.Millisecond
+	loadLife     = 5 * time.Second
+)
+
+// Outcome says how the use of a slot ended.
+type Outcome string
+
+// The outcomes. After OutcomeStalled the stream may still run at the server.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeLost    Outcome = "lost"
+	OutcomeStalled Outcome = "stalled"
+	OutcomeFailed  Outcome = "failed"
+)
+
+// Client gets slots from the owners, wherever these are, and keeps them renewed.
+// Set the exported fields before Run.
+type Client struct {
+	View  *rwmember.View
+	Owner *Owner
+	Peers func(address string) rwwire.DRPCInstanceClient
+	Log   logr.Logger
+
+	mu     sync.Mutex
+	leases map[string]heldLease
+	loads  map[string]knownLoad
+}
+
+type heldLease struct {
+	Lease
+
+	server string
+}
+
+type knownLoad struct {
+	Load
+
+	at time.Time
+}
+
+// Acquire asks the owner of a server for a slot.
+func (c *Client) Acquire(ctx context.Context, server string, a Ask) error {
+	a.Holder = c.View.Self().Name
+	owner := c.Owner.OwnerOf(server)
+	var err error
+	if owner == a.Holder {
+		err = c.acquireHere(ctx, server, a)
+	} else {
+		err = c.acquireThere(ctx, owner, server, a)
+	}
+	if err == nil {
+		c.hold(server, a)
+	}
+	return err
+}
+
+func (c *Client) acquireHere(ctx context.Context, server string, a Ask) error {
+	pool, ok := c.Owner.Pool(server)
+	if !ok {
+		return noOwner(server)
+	}
+	return pool.Acquire(ctx, a)
+}
+
+func noOwner(server string) error {
+	return rwerror.New(rwerror.KindUnavailable, "come back in a moment", "backend server %s has no owner yet", server).WithRetryAfter(WarmUp)
+}
+
+func (c *Client) acquireThere(ctx context.Context, owner, server string, a Ask) error {
+	m, ok := c.View.Member(owner)
+	if !ok {
+		return noOwner(server)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Patience+callMargin)
+	defer cancel()
+	reply, err := c.Peers(m.Address).Acquire(ctx, &rwwire.AcquireRequest{
+		Server: server, Lease: a.Lease, Holder: a.Holder, Organisation: a.Organisation,
+		Weight: int32(a.Weight), Priority: int32(a.Priority), Tokens: int32(a.Tokens),
+		Patience: a.Patience.Milliseconds(), Resume: a.Resume, Fingerprint: a.Fingerprint, Suspect: a.Suspect,
+	})
+	if err != nil {
+		// The slot may have been granted: give it back in any case.
+		go c.release(owner, server, a.Lease, OutcomeStalled, 0)
+		return rwerror.New(rwerror.KindUnavailable, "come back in a moment", "the owner of backend server %s did not answer: %v", server, err).WithRetryAfter(WarmUp)
+	}
+	c.learn(reply.Load)
+	if !reply.Granted {
+		return reply.Fault.Typed()
+	}
+	return nil
+}
+
+func (c *Client) hold(server string, a Ask) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leases == nil {
+		c.leases = map[string]heldLease{}
+	}
+	c.leases[a.Lease] = heldLease{server: server, Lease: Lease{ID: a.Lease, Organisation: a.Organisation, Tokens: a.Tokens, Fingerprint: a.Fingerprint, Suspect: a.Suspect}}
+}
+
+// Adopt takes over a lease of another holder, together with its stream.
+func (c *Client) Adopt(server string, a Ask) {
+	c.hold(server, a)
+	go c.renewOwner(context.Background(), c.Owner.OwnerOf(server))
+}
+
+// Clear notes that the work under a lease is no longer suspect. The owner learns
+// it with the next renewal.
+func (c *Client) Clear(lease string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l, ok := c.leases[lease]; ok {
+		l.Suspect = false
+		c.leases[lease] = l
+	}
+}
+
+// Release gives a slot back. token is the mean time between its tokens, or zero.
+func (c *Client) Release(server, lease string, outcome Outcome, token time.Duration) {
+	c.mu.Lock()
+	delete(c.leases, lease)
+	c.mu.Unlock()
+	c.release(c.Owner.OwnerOf(server), server, lease, outcome, token)
+}
+
+func (c *Client) release(owner, server, lease string, outcome Outcome, token time.Duration) {
+	if owner == c.View.Self().Name {
+		c.Owner.Released(server, lease, owner, outcome, token)
+		return
+	}
+	m, ok := c.View.Member(owner)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	reply, err := c.Peers(m.Address).Renew(ctx, &rwwire.RenewRequest{
+		Holder:   c.View.Self().Name,
+		Releases: []*rwwire.Release{{Id: lease, Server: server, Outcome: string(outcome), Token: token.Microseconds()}},
+	})
+	if err != nil {
+		// The lease ends by itself: it is renewed no longer.
+		c.Log.V(1).Info("lease not given back", "server", server, "lease", lease, "cause", err.Error())
+		return
+	}
+	c.Learn(reply.Loads)
+}
+
+// Released takes back a slot of a server that this instance owns.
+func (o *Owner) Released(server, lease, holder string, outcome Outcome, token time.Duration) {
+	pool, ok := o.Pool(server)
+	if !ok {
+		return
+	}
+	if outcome == OutcomeLost || outcome == OutcomeStalled {
+		pool.Abandon(lease, holder)
+		o.Poke(server)
+		return
+	}
+	pool.Release(lease, holder, token)
+}
+
+// Run renews the leases until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.renewAll(ctx)
+		}
+	}
+}
+
+func (c *Client) renewAll(ctx context.Context) {
+	for owner := range c.byOwner() {
+		go c.renewOwner(ctx, owner)
+	}
+}
+
+// byOwner groups the leases by the owner of their server.
+func (c *Client) byOwner() map[string][]heldLease {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	groups := map[string][]heldLease{}
+	for _, l := range c.leases {
+		owner := c.Owner.OwnerOf(l.server)
+		groups[owner] = append(groups[owner], l)
+	}
+	return groups
+}
+
+func (c *Client) renewOwner(ctx context.Context, owner string) {
+	leases := c.byOwner()[owner]
+	self := c.View.Self().Name
+	if owner == self {
+		for _, l := range leases {
+			if pool, ok := c.Owner.Pool(l.server); ok {
+				pool.Renew(self, l.Lease)
+			}
+		}
+		return
+	}
+	m, ok := c.View.Member(owner)
+	if !ok {
+		return
+	}
+	request := &rwwire.RenewRequest{Holder: self}
+	for _, l := range leases {
+		request.Leases = append(request.Leases, &rwwire.Lease{
+			Id: l.ID, Server: l.server, Organisation: l.Organisation, Tokens: int32(l.Tokens), Fingerprint: l.Fingerprint, Suspect: l.Suspect,
+		})
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	reply, err := c.Peers(m.Address).Renew(ctx, request)
+	if err == nil {
+		c.Learn(reply.Loads)
+	}
+}
+
+// Learn takes in what owners tell of their servers.
+func (c *Client) Learn(loads []*rwwire.ServerLoad) {
+	for _, l := range loads {
+		c.learn(l)
+	}
+}
+
+func (c *Client) learn(l *rwwire.ServerLoad) {
+	if l == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loads == nil {
+		c.loads = map[string]knownLoad{}
+	}
+	c.loads[l.Server] = knownLoad{at: time.Now(), Load: FromWire(l)}
+}
+
+// Load returns what is known of a server, and whether anything recent is.
+func (c *Client) Load(server string) (Load, bool) {
+	if pool, ok := c.Owner.Pool(server); ok {
+		return pool.Load(), true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.loads[server]
+	return l.Load, ok && time.Since(l.at) < loadLife
+}
+
+// Held returns how many slots this instance holds.
+func (c *Client) Held() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.leases)
+}
+
+// ToWire returns the message form of a load.
+func ToWire(server string, l Load) *rwwire.ServerLoad {
+	return &rwwire.ServerLoad{
+		Server: server, Held: int32(l.Held), Limit: int32(l.Limit), Waiting: int32(l.Waiting),
+		Down: l.Down, Leaving: l.Leaving, Drain: l.Drain.Milliseconds(), Versions: l.Versions, Incarnation: l.Incarnation,
+	}
+}
+
+// FromWire returns the load of a message.
+func FromWire(l *rwwire.ServerLoad) Load {
+	return Load{
+		Held: int(l.Held), Limit: int(l.Limit), Waiting: int(l.Waiting), Down: l.Down,
+		Leaving: l.Leaving, Drain: time.Duration(l.Drain) * time.Millisecond, Versions: l.Versions, Incarnation: l.Incarnation,
+	}
+}
--- /dev/null
+++ b/internal/rwslot/serve.go
@@ -0,0 +1,51 @@
+package rwslot
+
+import (
+	"context"
+	"time"
+
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwwire"
+)
+
+// ServeAcquire answers another instance's ask.
+func (o *Owner) ServeAcquire(ctx context.Context, r *rwwire.AcquireRequest) *rwwire.AcquireReply {
+	pool, ok := o.Pool(r.Server)
+	if !ok {
+		return &rwwire.AcquireReply{Fault: rwwire.NewFault(rwerror.As(noOwner(r.Server)))}
+	}
+	err := pool.Acquire(ctx, Ask{
+		Lease: r.Lease, Holder: r.Holder, Organisation: r.Organisation, Weight: int(r.Weight),
+		Priority: int(r.Priority), Tokens: int(r.Tokens), Patience: time.Duration(r.Patience) * time.Millisecond,
+		Resume: r.Resume, Fingerprint: r.Fingerprint, Suspect: r.Suspect,
+	})
+	reply := &rwwire.AcquireReply{Granted: err == nil, Load: ToWire(r.Server, pool.Load())}
+	if err != nil {
+		reply.Fault = rwwire.NewFault(rwerror.As(err))
+	}
+	return reply
+}
+
+// ServeRenew answers another instance that keeps or gives back leases.
+func (o *Owner) ServeRenew(r *rwwire.RenewRequest) *rwwire.RenewReply {
+	touched := map[string]bool{}
+	for _, l := range r.Leases {
+		pool, ok := o.Pool(l.Server)
+		if !ok {
+			continue
+		}
+		pool.Renew(r.Holder, Lease{ID: l.Id, Organisation: l.Organisation, Tokens: int(l.Tokens), Fingerprint: l.Fingerprint, Suspect: l.Suspect})
+		touched[l.Server] = true
+	}
+	for _, l := range r.Releases {
+		o.Released(l.Server, l.Id, r.Holder, Outcome(l.Outcome), time.Duration(l.Token)*time.Microsecond)
+		touched[l.Server] = true
+	}
+	reply := &rwwire.RenewReply{}
+	for server := range touched {
+		if pool, ok := o.Pool(server); ok {
+			reply.Loads = append(reply.Loads, ToWire(server, pool.Load()))
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/rwtoken/text.go
@@ -0,0 +1,19 @@
+package rwtoken
+
+import "unicode/utf8"
+
+// Whole returns the length of the longest prefix of b that ends on a UTF-8
+// character boundary. Bytes that can't become valid count as whole.
+func Whole(b []byte) int {
+	for back := 1; back <= utf8.UTFMax-1 && back <= len(b); back++ {
+		start := len(b) - back
+		if !utf8.RuneStart(b[start]) {
+			continue
+		}
+		if utf8.FullRune(b[start:]) {
+			return len(b)
+		}
+		return start
+	}
+	return len(b)
+}
--- /dev/null
+++ b/internal/rwtree/types.go
@@ -0,0 +1,90 @@
+package rwtree
+
+import (
+	"net/http"
+	"time"
+
+	"ragwortwall/internal/rwjson"
+)
+
+// RootName is the name of the root's object; any other name is a team's.
+const RootName = "root"
+
+// Root is the spec of the tree's root.
+type Root struct {
+	Operators map[string]Operator `json:"operators,omitempty"`
+	Signing   []string            `json:"signing,omitempty"` // keys for cursors in hex, newest first
+}
+
+// Operator is a person or program that may change settings.
+type Operator struct {
+	Key   string   `json:"key"`   // SHA-256 of the operator's key, in hex
+	Teams []string `json:"teams"` // the teams whose subtrees it may change; "*" is all and the root
+}
+
+// Team is the spec of a team's subtree.
+type Team struct {
+	Organisations map[string]Organisation `json:"organisations,omitempty"`
+	Servers       map[string]Server       `json:"servers,omitempty"`
+	Routes        map[string]Route        `json:"routes,omitempty"`
+}
+
+// Organisation is a customer of a team.
+type Organisation struct {
+	Keys   []string `json:"keys"`             // SHA-256 of each API key, in hex
+	Weight int      `json:"weight,omitempty"` // share of capacity under contention; 1 if absent
+}
+
+// Server is a backend server: a model engine or a plain service.
+type Server struct {
+	Address  string   `json:"address"`            // IP number and port
+	Zone     string   `json:"zone"`               // availability zone
+	Capacity int      `json:"capacity"`           // requests at once
+	Versions []string `json:"versions,omitempty"` // of a model, loaded at its start
+	Fenced   bool     `json:"fenced,omitempty"`   // refuses orders with an old fencing number
+	Leaving  bool     `json:"leaving,omitempty"`  // gets no new work
+}
+
+// Route leads requests of a team's organisations to backend servers. It has
+// either a model or a path.
+type Route struct {
+	Model    string          `json:"model,omitempty"`    // the model's name in requests
+	Version  string          `json:"version,omitempty"`  // the version that serves it
+	Path     string          `json:"path,omitempty"`     // the prefix of a service's paths
+	Servers  []string        `json:"servers"`            // names of backend servers
+	Repeat   []string        `json:"repeat,omitempty"`   // HTTP methods that are idempotent; GET, HEAD, OPTIONS if absent
+	Keyless  bool            `json:"keyless,omitempty"`  // allow other methods without an Idempotency-Key
+	Budget   float64         `json:"budget,omitempty"`   // retries as a share of first tries; 0.1 if absent
+	Patience rwjson.Duration `json:"patience,omitempty"` // longest wait for a slot; 2s if absent
+	Timeout  rwjson.Duration `json:"timeout,omitempty"`  // longest call of a service; 30s if absent
+	Pace     rwjson.Duration `json:"pace,omitempty"`     // aim between tokens; 73ms if absent
+}
+
+// The values of fields that are absent.
+const (
+	DefaultBudget   = 0.1
+	DefaultPatience = 2 * time.Second
+	DefaultTimeout  = 30 * time.Second
+	DefaultPace     = 73 * time.Millisecond
+)
+
+// Idempotent reports whether a method of the route may be repeated.
+func (r Route) Idempotent(method string) bool {
+	if r.Repeat == nil {
+		return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+	}
+	for _, m := range r.Repeat {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// RetryBudget is the share of first tries that may be repeated.
+func (r Route) RetryBudget() float64 {
+	if r.Budget == 0 {
+		return DefaultBudget
+	}
+	return r.Budget
+}
--- /dev/null
+++ b/internal/rwwire/fault.go
@@ -0,0 +1,71 @@
+package rwwire
+
+import (
+	"encoding/binary"
+	"time"
+
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwtoken"
+)
+
+// NewFault returns the message form of a typed error, or nil for nil.
+func NewFault(e *rwerror.Error) *Fault {
+	if e == nil {
+		return nil
+	}
+	return &Fault{
+		Kind:    string(e.Kind),
+		Message: e.Message,
+		Remedy:  e.Remedy,
+		Retry:   e.RetryAfter.Milliseconds(),
+		Ran:     string(e.Ran),
+	}
+}
+
+// Typed returns the typed error of a message, or nil for nil.
+func (f *Fault) Typed() *rwerror.Error {
+	if f == nil {
+		return nil
+	}
+	return &rwerror.Error{
+		Kind:       rwerror.Kind(f.Kind),
+		Message:    f.Message,
+		Remedy:     f.Remedy,
+		RetryAfter: time.Duration(f.Retry) * time.Millisecond,
+		Ran:        rwerror.Ran(f.Ran),
+	}
+}
+
+// PackTokens returns the wire form of tokens: for each its number, the length
+// of its text, and the text.
+func PackTokens(tokens []rwtoken.Token) []byte {
+	var b []byte
+	for _, t := range tokens {
+		b = binary.AppendUvarint(b, uint64(t.ID))
+		b = binary.AppendUvarint(b, uint64(len(t.Text)))
+		b = append(b, t.Text...)
+	}
+	return b
+}
+
+// UnpackTokens reads what PackTokens wrote.
+func UnpackTokens(b []byte) ([]rwtoken.Token, error) {
+	var tokens []rwtoken.Token
+	for len(b) > 0 {
+		id, n := binary.Uvarint(b)
+		if n <= 0 || id > 1<<32-1 {
+			return nil, errPacked
+		}
+		b = b[n:]
+		length, n := binary.Uvarint(b)
+		if n <= 0 || length > uint64(len(b)-n) {
+			return nil, errPacked
+		}
+		b = b[n:]
+		tokens = append(tokens, rwtoken.Token{ID: uint32(id), Text: b[:length:length]})
+		b = b[length:]
+	}
+	return tokens, nil
+}
+
+var errPacked = rwerror.New(rwerror.KindInvalid, "run the same release on all instances", "a peer sent tokens that can't be read")
--- /dev/null
+++ b/pkg/rwset/doc.go
@@ -0,0 +1,2 @@
+// Package rwset holds small generic value types: a set and an option.
+package rwset
