Clear suspects by the place where the server died

Cause: after an engine's death its 8 requests were suspects, one a server and 3 s each, so the last waited 6.66 s. Ruled out: dropping the isolation (a crashing request would take several servers with it); a shorter fixed time alone (a request that crashes late would be cleared before its place). A suspect is cleared 8 tokens and 0.4 s past the death; a death under a cleared request makes it a suspect again and no more, so long generations outlive several deaths.

--- a/internal/rwgeneration/attempt.go
+++ b/internal/rwgeneration/attempt.go
@@ -25,7 +25,9 @@
 	firstTime time.Duration
 	lastAt    time.Time
 	tokens    int
-	proven    bool
+	suspect   bool // it runs beside no other suspect
+	cleared   bool // it got past the place where a server died under it
+	proven    bool // it has run long enough for copies to run elsewhere
 
 	incarnation string // of the server's process, if known
 }
@@ -210,15 +212,21 @@
 	return resultLost, err
 }
 
-// prove clears a request that has run for a while.
+// prove draws the conclusions of a request's running well.
 func (p *Primary) prove(g *Generation, a *attempt) {
-	if a.proven || a.tokens == 0 || time.Since(a.started) < rwpoison.ProveAfter {
+	if a.tokens == 0 {
 		return
 	}
-	a.proven = true
-	p.trials.prove(g)
-	p.clear(g)
-	p.Slots.Clear(a.lineage.Stream)
+	ran := time.Since(a.started) - a.firstTime
+	if a.suspect && !a.cleared && a.tokens >= rwpoison.ClearTokens && ran >= rwpoison.ClearAfter {
+		a.cleared = true
+		p.clear(g)
+		p.Slots.Clear(a.lineage.Stream)
+	}
+	if !a.proven && ran >= rwpoison.ProveAfter {
+		a.proven = true
+		p.trials.prove(g)
+	}
 }
 
 // release is how a result gives its slot back.
--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -173,11 +173,11 @@
 			c = shortestWait(ordered)
 			patience = wait
 		}
-		stream := streamName(g, number)
-		err := p.Slots.Acquire(ctx, c.Name, p.ask(g, stream, patience, resume))
+		ask := p.ask(g, streamName(g, number), patience, resume)
+		err := p.Slots.Acquire(ctx, c.Name, ask)
 		if err == nil {
 			server, _ := tree.Server(c.Name)
-			return p.begin(g, server, version, stream, number), nil
+			return p.begin(g, server, version, ask), nil
 		}
 		refusal = soonest(refusal, err)
 		if last {
@@ -214,17 +214,19 @@
 	return a
 }
 
-func (p *Primary) begin(g *Generation, server rwtree.NamedServer, version, stream string, number int) *attempt {
+func (p *Primary) begin(g *Generation, server rwtree.NamedServer, version string, ask rwslot.Ask) *attempt {
 	count, _, _ := g.Journal.State()
 	lineage := g.setLineage(func(l *Lineage) {
 		l.Version = version
 		l.Server = server.Name
-		l.Stream = stream
+		l.Stream = ask.Lease
 		l.Base = count
-		l.Attempt = number
+		l.Attempt++
 	})
 	p.trials.placed(g, server.Name)
-	return p.newAttempt(server, lineage, false)
+	a := p.newAttempt(server, lineage, false)
+	a.suspect = ask.Suspect
+	return a
 }
 
 func (p *Primary) newAttempt(server rwtree.NamedServer, lineage Lineage, resume bool) *attempt {
--- a/internal/rwgeneration/run.go
+++ b/internal/rwgeneration/run.go
@@ -170,7 +170,7 @@
 	if p.survived(ctx, a) {
 		return
 	}
-	s := p.Book.Implicate(rwpoison.Fingerprint(g.Spec.Fingerprint), a.server.Name)
+	s := p.Book.Implicate(rwpoison.Fingerprint(g.Spec.Fingerprint), a.server.Name, a.suspect && !a.cleared)
 	p.Log.V(1).Info("request implicated", "generation", Text(g.Spec.ID), "servers", s.Servers)
 	p.trials.unproven(g)
 }
--- a/internal/rwpoison/book.go
+++ b/internal/rwpoison/book.go
@@ -2,10 +2,13 @@
 // many.
 //
 // The death of a server implicates each request that it held. An implicated
-// request is a suspect: it runs beside no other suspect until it has run for a
-// while or finished, which clears it. A request that two distinct servers died
-// under is quarantined: it gets its final answer at once. Suspicions go to all
-// instances, and quarantines are kept in the platform's API besides.
+// request is a suspect: it runs beside no other suspect until it has passed the
+// place where the server died, which clears it. A second distinct server that
+// dies under a suspect which ran beside no other suspect quarantines it: it gets
+// its final answer at once. A server that dies under a cleared request makes it
+// a suspect again, no more: servers die of other causes, and a long generation
+// may meet several. Suspicions go to all instances, and quarantines are kept in
+// the platform's API besides.
 package rwpoison
 
 import (
@@ -20,8 +23,13 @@
 const (
 	// Deaths is the number of distinct servers that quarantine a request.
 	Deaths = 2
-	// ProveAfter is how long a suspect must run to be cleared.
+	// ProveAfter is how long a request must run before copies of it may run at
+	// other servers.
 	ProveAfter = 3 * time.Second
+	// ClearAfter and ClearTokens are how far a suspect must get past the place
+	// where the server died to be cleared.
+	ClearAfter  = 400 * time.Millisecond
+	ClearTokens = 8
 	// QuarantineLife is how long a quarantine lasts.
 	QuarantineLife = time.Hour
 	suspicionLife  = 10 * time.Minute
@@ -34,7 +42,8 @@
 type Suspicion struct {
 	Fingerprint Fingerprint
 	Servers     []string // the distinct servers that died under it
-	Cleared     bool
+	Cleared     bool     // it has run well since
+	Quarantined bool
 }
 
 // Book holds the suspicions. The zero value is empty and ready for use.
@@ -44,36 +53,46 @@
 }
 
 type entry struct {
-	servers rwset.Set[string]
-	touched time.Time
+	servers     rwset.Set[string]
+	touched     time.Time
+	cleared     bool
+	quarantined bool
+}
+
+func (e *entry) suspicion(f Fingerprint) Suspicion {
+	return Suspicion{Fingerprint: f, Servers: rwset.Sorted(e.servers), Cleared: e.cleared, Quarantined: e.quarantined}
 }
 
 // Implicate notes that a server died while it held a request, and returns what
-// is now known of the request.
-func (b *Book) Implicate(f Fingerprint, server string) Suspicion {
+// is now known of the request. isolated says that the request was a suspect and
+// ran beside no other.
+func (b *Book) Implicate(f Fingerprint, server string, isolated bool) Suspicion {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entryLocked(f)
 	e.servers.Add(server)
 	e.touched = time.Now()
-	return Suspicion{Fingerprint: f, Servers: rwset.Sorted(e.servers)}
+	e.cleared = false
+	e.quarantined = e.quarantined || isolated && len(e.servers) >= Deaths
+	return e.suspicion(f)
 }
 
 // Merge takes in what another instance or the platform knows.
 func (b *Book) Merge(s Suspicion) {
-	if s.Cleared {
-		b.Clear(s.Fingerprint)
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entryLocked(s.Fingerprint)
+	e.quarantined = e.quarantined || s.Quarantined
 	for _, server := range s.Servers {
 		if !e.servers.Has(server) {
 			e.servers.Add(server)
 			e.touched = time.Now()
+			e.cleared = s.Cleared
 		}
 	}
+	if s.Cleared && len(s.Servers) == len(e.servers) {
+		e.cleared = true
+	}
 }
 
 func (b *Book) entryLocked(f Fingerprint) *entry {
@@ -88,13 +107,13 @@
 	return e
 }
 
-// Clear drops the suspicion of a request that has been seen to run well. A
+// Clear ends the suspicion of a request that has been seen to run well. A
 // quarantine stays.
 func (b *Book) Clear(f Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e, ok := b.entries[f]; ok && len(e.servers) < Deaths {
-		delete(b.entries, f)
+	if e, ok := b.entries[f]; ok {
+		e.cleared = true
 	}
 }
 
@@ -103,7 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, ok := b.entries[f]
-	return ok && time.Since(e.touched) < suspicionLife
+	return ok && !e.cleared && time.Since(e.touched) < suspicionLife
 }
 
 // Refusal returns the final answer to a quarantined request, or nil.
@@ -111,7 +130,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, ok := b.entries[f]
-	if !ok || len(e.servers) < Deaths {
+	if !ok || !e.quarantined {
 		return nil
 	}
 	left := QuarantineLife - time.Since(e.touched)
@@ -130,11 +149,11 @@
 	var all []Suspicion
 	for f, e := range b.entries {
 		age := time.Since(e.touched)
-		if age > QuarantineLife || len(e.servers) < Deaths && age > suspicionLife {
+		if age > QuarantineLife || !e.quarantined && age > suspicionLife {
 			delete(b.entries, f)
 			continue
 		}
-		all = append(all, Suspicion{Fingerprint: f, Servers: rwset.Sorted(e.servers)})
+		all = append(all, e.suspicion(f))
 	}
 	slices.SortFunc(all, func(x, y Suspicion) int {
 		return b.entries[y.Fingerprint].touched.Compare(b.entries[x.Fingerprint].touched)
--- a/internal/rwserve/exchange.go
+++ b/internal/rwserve/exchange.go
@@ -83,7 +83,7 @@
 	}
 	known := i.book.Known()
 	for _, s := range known[:min(suspicionsMost, len(known))] {
-		d.Suspicions = append(d.Suspicions, &rwwire.Suspicion{Fingerprint: uint64(s.Fingerprint), Servers: s.Servers})
+		d.Suspicions = append(d.Suspicions, &rwwire.Suspicion{Fingerprint: uint64(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
 	}
 	return d
 }
@@ -112,7 +112,7 @@
 		i.view.Rumour(h.Instance, h.Incarnation, time.Duration(h.Age)*time.Millisecond)
 	}
 	for _, s := range d.Suspicions {
-		i.book.Merge(rwpoison.Suspicion{Fingerprint: rwpoison.Fingerprint(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared})
+		i.book.Merge(rwpoison.Suspicion{Fingerprint: rwpoison.Fingerprint(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
 	}
 	if d.Settings != i.settings.Tree().Digest() {
 		_ = i.settings.Fetch(ctx, address) // tried again at the next exchange
