Answers survive each loss and each pair of losses, under virtual time

Cause of two failures that the new tests found: a gateway that ranked first for a generation sent it to the second instance, while others asked the first, so a repeat began a second run (2 engine runs for one key) and copies of a crashing request were tried in two places (3 servers lost). The first instance sends others on to where its own gateway went, by identity and by fingerprint; copies that wait for a trial wait for its next change instead of being refused when its server died. Calls of plain services with records at the platform are in, their tests follow.

--- a/internal/rwgateway/gateway.go
+++ b/internal/rwgateway/gateway.go
@@ -39,6 +39,10 @@
 	Counters  *rwgeneration.Counters
 	Log       logr.Logger
 
+	// Here reports whether this instance is the primary of a generation, or of
+	// a copy of the same request that runs.
+	Here func(id rwcursor.ID) bool
+
 	mu      sync.Mutex
 	relayed map[rwcursor.ID]*relayed
 	active  atomic.Int64
@@ -66,7 +70,7 @@
 	return len(g.relayed)
 }
 
-// PrimaryOf returns the primary of a generation that passes through.
+// PrimaryOf returns where this gateway sends a generation.
 func (g *Gateway) PrimaryOf(id rwcursor.ID) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -77,6 +81,18 @@
 	return r.primary, true
 }
 
+// PrimaryOfCopy returns where this gateway sends a copy of the same request.
+func (g *Gateway) PrimaryOfCopy(id rwcursor.ID) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for other, r := range g.relayed {
+		if placement(other) == placement(id) && r.primary != "" {
+			return r.primary, true
+		}
+	}
+	return "", false
+}
+
 func (g *Gateway) enter(id rwcursor.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -237,6 +253,7 @@
 		log:       log,
 		counters:  g.Counters,
 		suspected: rwset.New[string](),
+		here:      g.Here,
 		noticed:   func(primary string) { g.noticePrimary(id, primary) },
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.spec.Deadline)
--- a/internal/rwgateway/relay.go
+++ b/internal/rwgateway/relay.go
@@ -52,6 +52,7 @@
 	primary   string
 	suspected rwset.Set[string] // instances that were lost or silent
 	noticed   func(primary string)
+	here      func(id rwcursor.ID) bool
 }
 
 // handler takes in what a relay receives. It may block: the relay reads no
@@ -153,12 +154,16 @@
 }
 
 // targets lists the instances to ask, the likeliest first. This instance comes
-// last, so that the two copies of an answer are at two instances.
+// last, so that the two copies of an answer are at two instances, unless it is
+// the primary already.
 func (r *relay) targets(resume bool) []string {
 	self := r.view.Self().Name
 	ranked := rwmember.Rank(placement(r.spec.ID), r.view.Live())
 	ranked = slices.DeleteFunc(ranked, func(name string) bool { return name == self || r.suspected.Has(name) })
 	ranked = ranked[:min(targetsMost, len(ranked))]
+	if r.journal == nil && r.here(r.spec.ID) {
+		return append([]string{self}, ranked...)
+	}
 	if len(ranked) == 0 || resume {
 		ranked = append(ranked, self)
 	}
@@ -246,6 +251,7 @@
 	defer cancel()
 	guard := time.AfterFunc(primaryStall, cancel)
 	defer guard.Stop()
+	r.noticed(target)
 	stream, err := r.primaries.Start(ctx, target, q)
 	if err != nil {
 		return nil, "", errors.Trace(err)
@@ -318,10 +324,7 @@
 	if r.journal.Run() != rwtoken.Run(lineage.Run) {
 		return rwerror.New(rwerror.KindAnswerLost, "ask anew under a new Idempotency-Key", "the primary runs another generation of this request")
 	}
-	if r.primary != target {
-		r.primary = target
-		r.noticed(target)
-	}
+	r.primary = target
 	if lineage.Server == "" {
 		return nil
 	}
--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -97,18 +97,15 @@
 }
 
 func (p *Primary) placeOnce(ctx context.Context, g *Generation, tree rwtree.Tree, route rwtree.NamedRoute, avoid rwset.Set[string], wait time.Duration) (*attempt, error) {
-	only, changed := p.trials.enter(g)
-	if changed != nil && only == "" {
-		if !await(ctx.Done(), changed, wait) {
-			return nil, busy(route)
-		}
-		return p.placeOnce(ctx, g, tree, route, avoid, wait)
-	}
 	version := p.version(g, route)
 	candidates := p.candidates(tree, route, version, avoid)
-	if only != "" {
+	only, changed := p.trials.enter(g)
+	if changed != nil {
 		candidates = slices.DeleteFunc(candidates, func(c rwchoice.Candidate) bool { return c.Name != only })
 	}
+	if changed != nil && len(candidates) == 0 {
+		return p.afterTrial(ctx, g, tree, route, avoid, wait, changed)
+	}
 	if len(candidates) == 0 {
 		return nil, busy(route)
 	}
@@ -116,6 +113,19 @@
 	return p.acquire(ctx, g, tree, version, ordered, wait)
 }
 
+// afterTrial waits for the leading copy of the request to be placed, proven or
+// ended, and tries again.
+func (p *Primary) afterTrial(ctx context.Context, g *Generation, tree rwtree.Tree, route rwtree.NamedRoute, avoid rwset.Set[string], wait time.Duration, changed <-chan struct{}) (*attempt, error) {
+	started := time.Now()
+	if !await(ctx.Done(), changed, wait) {
+		return nil, busy(route)
+	}
+	if e := p.Book.Refusal(rwpoison.Fingerprint(g.Spec.Fingerprint)); e != nil {
+		return nil, e
+	}
+	return p.placeOnce(ctx, g, tree, route, avoid, wait-time.Since(started))
+}
+
 func busy(route rwtree.NamedRoute) error {
 	return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After",
 		"no backend server of route %s can take the request", route.Key()).WithRetryAfter(time.Second)
--- a/internal/rwgeneration/primary.go
+++ b/internal/rwgeneration/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -235,6 +236,13 @@
 	return n
 }
 
+// Runs reports whether a generation is here, or a copy of the same request that
+// has yet to be proven.
+func (p *Primary) Runs(id rwcursor.ID) bool {
+	_, ok := p.Find(id)
+	return ok || p.trials.open(binary.LittleEndian.Uint64(id[:]))
+}
+
 // Find returns a generation by identity.
 func (p *Primary) Find(id rwcursor.ID) (*Generation, bool) {
 	p.mu.Lock()
--- a/internal/rwgeneration/trial.go
+++ b/internal/rwgeneration/trial.go
@@ -39,6 +39,14 @@
 	return e.server, e.changed
 }
 
+// open reports whether a request has copies that are kept together.
+func (t *trials) open(fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[fingerprint]
+	return ok && !e.proven
+}
+
 func (t *trials) leadLocked(g *Generation) {
 	if t.entries == nil {
 		t.entries = map[uint64]*trial{}
--- a/internal/rwplatform/client.go
+++ b/internal/rwplatform/client.go
@@ -47,6 +47,13 @@
 	return l.Items, l.Metadata.ResourceVersion, err
 }
 
+// ListLabel reads all objects of a kind that carry a label.
+func (c *Client) ListLabel(ctx context.Context, kind rwobject.Kind, label, value string) ([]rwobject.Object, error) {
+	var l rwobject.List
+	err := c.call(ctx, http.MethodGet, string(kind)+"?labelSelector="+url.QueryEscape(label+"="+value), nil, &l)
+	return l.Items, err
+}
+
 // Create makes an object that must not exist.
 func (c *Client) Create(ctx context.Context, o rwobject.Object) (rwobject.Object, error) {
 	var made rwobject.Object
--- /dev/null
+++ b/internal/rwserve/answer_test.go
@@ -0,0 +1,231 @@
+package rwserve
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// resumeBound is the users' bound: output goes on within this after a loss.
+const resumeBound = 4 * time.Second
+
+var small = fleetOptions{instances: 4, engines: 4, capacity: 4}
+
+func TestAnswerWhole(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		for n := range f.instances {
+			a := ask{prompt: prompt(n), tokens: 100}
+			requireWhole(t, a, f.complete(n, a))
+		}
+	})
+}
+
+// TestAnswerAfterLoss loses each part of the path, and pairs of them, while an
+// answer streams through the gateway at instance 0.
+func TestAnswerAfterLoss(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(f *fleet)
+	}{
+		{"engine killed", func(f *fleet) { f.engines[f.busiest()].Kill() }},
+		{"engine frozen", func(f *fleet) { f.network.Freeze(engineName(f.busiest()), true) }},
+		{"primary killed", func(f *fleet) { f.kill(f.primaryOf()) }},
+		{"primary frozen", func(f *fleet) { f.network.Freeze(instanceName(f.primaryOf()), true) }},
+		{"primary and engine killed", func(f *fleet) { f.engines[f.busiest()].Kill(); f.kill(f.primaryOf()) }},
+		{"primary and engine frozen", func(f *fleet) {
+			f.network.Freeze(engineName(f.busiest()), true)
+			f.network.Freeze(instanceName(f.primaryOf()), true)
+		}},
+		{"primary cut from gateway", func(f *fleet) { f.network.Cut(instanceName(0), instanceName(f.primaryOf()), true) }},
+		{"primary cut from engine", func(f *fleet) { f.network.Cut(instanceName(f.primaryOf()), engineName(f.busiest()), true) }},
+		{"platform out", func(f *fleet) { f.platform.SetFaults(outage); f.engines[f.busiest()].Kill() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, small, func(f *fleet) {
+				a := ask{prompt: prompt(1), tokens: 400}
+				done := f.running(0, a)
+				c.lose(f)
+				g := <-done
+				requireWhole(t, a, g)
+				require.Less(t, g.gap, resumeBound)
+			})
+		})
+	}
+}
+
+// TestAnswerPrimaryReturns thaws a frozen primary while the new one goes on: its
+// late output must reach nobody.
+func TestAnswerPrimaryReturns(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := ask{prompt: prompt(1), tokens: 600}
+		done := f.running(0, a)
+		primary := instanceName(f.primaryOf())
+		f.network.Freeze(primary, true)
+		time.Sleep(3 * time.Second)
+		f.network.Freeze(primary, false)
+		requireWhole(t, a, <-done)
+	})
+}
+
+// TestAnswerGatewayLost loses the gateway, alone and with others; the caller
+// comes back with its cursor at another instance.
+func TestAnswerGatewayLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(f *fleet, primary int)
+	}{
+		{"gateway", func(f *fleet, _ int) { f.kill(0) }},
+		{"gateway and engine", func(f *fleet, _ int) { f.engines[f.busiest()].Kill(); f.kill(0) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, small, func(f *fleet) {
+				a := ask{prompt: prompt(1), tokens: 400}
+				done := f.running(0, a)
+				primary := f.primaryOf()
+				c.lose(f, primary)
+				first := <-done
+				require.True(t, first.broken)
+				requireWhole(t, a, f.resume(f.another(0, primary), a, first))
+			})
+		})
+	}
+}
+
+// TestAnswerAllCopiesLost loses gateway and primary: the caller is told at once
+// that the rest is lost.
+func TestAnswerAllCopiesLost(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := ask{prompt: prompt(1), tokens: 400}
+		done := f.running(0, a)
+		primary := f.primaryOf()
+		f.kill(0)
+		f.kill(primary)
+		first := <-done
+		started := time.Now()
+		g := f.resume(f.another(0, primary), a, first)
+		require.Equal(t, "answerlost", g.code)
+		require.Less(t, time.Since(started), resumeBound)
+	})
+}
+
+func TestAnswerRepeatJoins(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := ask{prompt: prompt(1), tokens: 300, key: "k1"}
+		done := f.running(0, a)
+		for n := range f.instances {
+			requireWhole(t, a, f.complete(n, a))
+		}
+		requireWhole(t, a, <-done)
+		served := 0
+		for _, e := range f.engines {
+			served += e.Counts().Served
+		}
+		require.Equal(t, 1, served, "the repeats must join the running generation")
+	})
+}
+
+func TestAnswerKeyWithOtherBody(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := ask{prompt: prompt(1), tokens: 50, key: "k1"}
+		requireWhole(t, a, f.complete(0, a))
+		b := ask{prompt: prompt(2), tokens: 50, key: "k1"}
+		for n := range f.instances {
+			require.Equal(t, "mismatch", f.complete(n, b).code)
+		}
+	})
+}
+
+func TestAnswerOrphanCancelled(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		f.complete(0, ask{prompt: prompt(1), tokens: 60000, hang: 20})
+		time.Sleep(10 * time.Second)
+		f.busiest()
+		time.Sleep(40 * time.Second)
+		for _, e := range f.engines {
+			require.Zero(t, e.Counts().Running)
+		}
+	})
+}
+
+// TestAnswerStopSequence has the engine killed again and again, so that the stop
+// sequence may straddle a break.
+func TestAnswerStopSequence(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		whole := expected("v1", prompt(1), 200)
+		for _, size := range []int{2, 9, 17} {
+			at := len(whole) * 3 / 4
+			stop := whole[at : at+size]
+			a := ask{prompt: prompt(1), tokens: 200, stop: []string{stop}, key: fmt.Sprint(size)}
+			done := f.running(0, a)
+			f.engines[f.busiest()].Kill()
+			g := <-done
+			require.Equal(t, "stop", g.finish)
+			require.Equal(t, whole[:indexOf(whole, stop)], g.text)
+		}
+	})
+}
+
+func TestCursorRefused(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := ask{prompt: prompt(1), tokens: 50}
+		g := f.complete(0, a)
+		requireWhole(t, a, g)
+		t.Run("of another organisation", func(t *testing.T) {
+			b := a
+			b.cursor = g.cursor
+			b.caller = otherKey
+			require.Equal(t, "cursor", f.complete(1, b).code)
+		})
+		t.Run("forged", func(t *testing.T) {
+			b := a
+			b.cursor = g.cursor[:len(g.cursor)-2] + "AA"
+			require.Equal(t, "cursor", f.complete(1, b).code)
+		})
+		t.Run("true", func(t *testing.T) {
+			b := a
+			b.cursor = g.cursor
+			rest := f.complete(1, b)
+			require.Equal(t, g.finish, rest.finish)
+			require.Empty(t, rest.text)
+		})
+	})
+}
+
+func TestUnauthorized(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		require.Equal(t, "unauthorized", f.complete(0, ask{prompt: "p", tokens: 5, caller: "nobody"}).code)
+	})
+}
+
+// TestPoison has a request that crashes each engine sent through all instances
+// at once, twice, beside innocents.
+func TestPoison(t *testing.T) {
+	withFleet(t, fleetOptions{instances: 4, engines: 6, capacity: 4}, func(f *fleet) {
+		var innocents []<-chan got
+		for n := range 8 {
+			innocents = append(innocents, f.begin(n%4, ask{prompt: prompt(n), tokens: 400}))
+		}
+		time.Sleep(time.Second)
+		for range 2 {
+			var poisons []<-chan got
+			for n := range 4 {
+				poisons = append(poisons, f.begin(n, ask{prompt: "POISON " + prompt(0), tokens: 100}))
+			}
+			for _, p := range poisons {
+				require.Equal(t, "quarantined", (<-p).code)
+			}
+		}
+		for n, done := range innocents {
+			requireWhole(t, ask{prompt: prompt(n), tokens: 400}, <-done)
+		}
+		down := 0
+		for _, e := range f.engines {
+			if e.Counts().Down {
+				down++
+			}
+		}
+		require.LessOrEqual(t, down, 2)
+	})
+}
--- /dev/null
+++ b/internal/rwserve/fleet_test.go
@@ -0,0 +1,417 @@
+package rwserve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/testr"
+	"github.com/stretchr/testify/require"
+
+	"ragwortwall/internal/rwconfig"
+	"ragwortwall/internal/rwfake"
+	"ragwortwall/internal/rwmodel"
+	"ragwortwall/internal/rwnet"
+	"ragwortwall/internal/rwobject"
+	"ragwortwall/internal/rwstandin"
+	"ragwortwall/internal/rwtree"
+)
+
+const (
+	callerKey   = "caller"
+	otherKey    = "other"
+	operatorKey = "operator"
+	signing     = "00112233445566778899aabbccddeeff"
+)
+
+// fleet is a whole fleet in one process, on an in-memory network, under virtual
+// time.
+type fleet struct {
+	t         *testing.T
+	network   rwfake.Network
+	platform  *rwstandin.Platform
+	engines   []*rwstandin.Engine
+	service   *rwstandin.Service
+	instances []*Instance
+	stops     []context.CancelFunc
+	ended     []chan struct{}
+	client    *http.Client
+	team      rwtree.Team
+	cleanups  []func()
+}
+
+type fleetOptions struct {
+	instances int
+	engines   int
+	capacity  int
+	versions  []string
+	verbose   bool
+}
+
+// withFleet runs a test on a ready fleet.
+func withFleet(t *testing.T, o fleetOptions, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, platform: &rwstandin.Platform{}, service: &rwstandin.Service{}}
+		f.client = rwnet.HTTPClient(f.network.Host("client"))
+		defer f.stop()
+		f.serve("platform", "10.0.9.1:80", f.platform.Handler())
+		f.start(o)
+		test(f)
+	})
+}
+
+func (f *fleet) serve(host, address string, handler http.Handler) {
+	l, err := f.network.Host(host).Listen(address)
+	require.NoError(f.t, err)
+	server := &http.Server{Handler: handler} //nolint:gosec // in memory
+	go func() { _ = server.Serve(l) }()
+	f.cleanups = append(f.cleanups, func() { _ = server.Close() })
+}
+
+func (f *fleet) start(o fleetOptions) {
+	if len(o.versions) == 0 {
+		o.versions = []string{"v1"}
+	}
+	for n := range o.engines {
+		f.startEngine(n, o)
+	}
+	f.serve("s1", "10.0.8.1:80", f.service.Handler())
+	f.create(rwobject.New(rwobject.KindSettings, rwtree.RootName, rwtree.Root{
+		Operators: map[string]rwtree.Operator{"admin": {Key: rwtree.HashKey(operatorKey), Teams: []string{"*"}}},
+		Signing:   []string{signing},
+	}))
+	f.team = fleetTeam(o)
+	f.create(rwobject.New(rwobject.KindSettings, "team", f.team))
+	for n := range o.instances {
+		f.create(rwobject.New(rwobject.KindInstances, instanceName(n), listed{Address: instanceAddress(n), Zone: zoneOf(n)}))
+	}
+	for n := range o.instances {
+		f.startInstance(n, o.verbose)
+	}
+	time.Sleep(4 * time.Second) // the warm-up of the owners
+}
+
+func fleetTeam(o fleetOptions) rwtree.Team {
+	t := rwtree.Team{
+		Organisations: map[string]rwtree.Organisation{
+			"coop":  {Keys: []string{rwtree.HashKey(callerKey)}},
+			"other": {Keys: []string{rwtree.HashKey(otherKey)}},
+		},
+		Servers: map[string]rwtree.Server{"s1": {Address: "10.0.8.1:80", Zone: "a", Capacity: 16}},
+		Routes:  map[string]rwtree.Route{"orders": {Path: "/orders/", Servers: []string{"s1"}}},
+	}
+	route := rwtree.Route{Model: "m", Version: o.versions[0]}
+	for n := range o.engines {
+		name := fmt.Sprintf("e%d", n)
+		t.Servers[name] = rwtree.Server{Address: engineAddress(n), Zone: zoneOf(n), Capacity: o.capacity, Versions: o.versions}
+		route.Servers = append(route.Servers, name)
+	}
+	t.Routes["m"] = route
+	return t
+}
+
+func zoneOf(n int) string           { return string(rune('a' + n%3)) }
+func instanceName(n int) string     { return fmt.Sprintf("i%d", n) }
+func instanceAddress(n int) string  { return fmt.Sprintf("10.0.1.%d:70", n+1) }
+func engineAddress(n int) string    { return fmt.Sprintf("10.0.2.%d:80", n+1) }
+func callersAddress(n int) string   { return fmt.Sprintf("10.0.1.%d:80", n+1) }
+func operatorsAddress(n int) string { return fmt.Sprintf("10.0.1.%d:90", n+1) }
+
+func (f *fleet) startEngine(n int, o fleetOptions) {
+	e := &rwstandin.Engine{
+		Versions: o.versions, Capacity: o.capacity, Step: 10 * time.Millisecond, Per: 100 * time.Microsecond,
+		Prefill: 50 * time.Microsecond, Blocks: 1024, ReportLag: 300 * time.Millisecond, LoadTime: 2 * time.Second,
+	}
+	name := fmt.Sprintf("e%d", n)
+	e.Crash = func(string) { f.network.Kill(name) }
+	f.engines = append(f.engines, e)
+	f.serve(name, engineAddress(n), e.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cleanups = append(f.cleanups, cancel)
+	go e.Run(ctx)
+}
+
+func (f *fleet) startInstance(n int, verbose bool) {
+	log := logr.Discard()
+	if verbose {
+		log = testr.NewWithOptions(f.t, testr.Options{Verbosity: 1, LogTimestamp: true})
+	}
+	i := &Instance{
+		Config: rwconfig.Config{
+			Name: instanceName(n), Zone: zoneOf(n), Callers: callersAddress(n), Instances: instanceAddress(n),
+			Operators: operatorsAddress(n), Platform: "http://10.0.9.1:80",
+		},
+		Network: f.network.Host(instanceName(n)),
+		Log:     log.WithName(instanceName(n)),
+	}
+	i.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = i.Run(ctx)
+	}()
+	f.instances = append(f.instances, i)
+	f.stops = append(f.stops, cancel)
+	f.ended = append(f.ended, ended)
+}
+
+func (f *fleet) stop() {
+	f.network.Heal()
+	for n := range f.instances {
+		f.stops[n]()
+	}
+	for _, cleanup := range f.cleanups {
+		cleanup()
+	}
+	for _, ended := range f.ended {
+		<-ended
+	}
+	f.client.CloseIdleConnections()
+}
+
+func (f *fleet) create(o rwobject.Object) {
+	body, err := json.Marshal(o)
+	require.NoError(f.t, err)
+	response, err := f.client.Post("http://10.0.9.1:80/apis/ragwortwall/v1/"+o.Kind, "application/json", bytes.NewReader(body))
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	require.Equal(f.t, http.StatusOK, response.StatusCode)
+}
+
+// ask describes a completion.
+type ask struct {
+	prompt string
+	tokens int
+	key    string // Idempotency-Key
+	caller string
+	cursor string
+	stop   []string
+	hang   int // leave after so many events
+}
+
+// got is what a caller received.
+type got struct {
+	status  int
+	header  http.Header
+	text    string
+	finish  string
+	version string
+	cursor  string
+	events  int
+	code    string
+	ran     string
+	gap     time.Duration
+	broken  bool
+}
+
+// complete streams a completion from the n-th instance.
+func (f *fleet) complete(n int, a ask) got {
+	body := map[string]any{"model": "m", "prompt": a.prompt, "max_tokens": a.tokens, "stream": true}
+	if a.stop != nil {
+		body["stop"] = a.stop
+	}
+	content, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+callersAddress(n)+"/v1/completions", bytes.NewReader(content))
+	require.NoError(f.t, err)
+	if a.caller == "" {
+		a.caller = callerKey
+	}
+	request.Header.Set("Authorization", "Bearer "+a.caller)
+	if a.key != "" {
+		request.Header.Set("Idempotency-Key", a.key)
+	}
+	if a.cursor != "" {
+		request.Header.Set("Last-Event-ID", a.cursor)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return got{broken: true}
+	}
+	defer response.Body.Close()
+	g := got{status: response.StatusCode, header: response.Header}
+	if response.StatusCode != http.StatusOK {
+		content, _ := io.ReadAll(response.Body)
+		g.take(f.t, content)
+		return g
+	}
+	g.read(f.t, response.Body, a.hang)
+	return g
+}
+
+func (g *got) read(t *testing.T, body io.Reader, hang int) {
+	content := make([]byte, 4096)
+	buffer := ""
+	last := time.Now()
+	for {
+		n, err := body.Read(content)
+		buffer += string(content[:n])
+		for {
+			frame, rest, ok := strings.Cut(buffer, "\n\n")
+			if !ok {
+				break
+			}
+			buffer = rest
+			if strings.HasPrefix(frame, ":") {
+				continue
+			}
+			if strings.HasSuffix(frame, "data: [DONE]") {
+				return
+			}
+			g.gap = max(g.gap, time.Since(last))
+			last = time.Now()
+			g.frame(t, frame)
+			if g.events == hang && hang > 0 {
+				return
+			}
+		}
+		if err != nil {
+			g.broken = g.code == ""
+			return
+		}
+	}
+}
+
+func (g *got) frame(t *testing.T, frame string) {
+	for _, line := range strings.Split(frame, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			g.cursor = id
+		}
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			g.take(t, []byte(data))
+		}
+	}
+	g.events++
+}
+
+func (g *got) take(t *testing.T, data []byte) {
+	var e struct {
+		Version string `json:"system_fingerprint"`
+		Choices []struct {
+			Text   string  `json:"text"`
+			Finish *string `json:"finish_reason"`
+		} `json:"choices"`
+		Error *struct {
+			Code string `json:"code"`
+			Ran  string `json:"ran"`
+		} `json:"error"`
+	}
+	require.NoError(t, json.Unmarshal(data, &e), string(data))
+	if e.Version != "" {
+		g.version = e.Version
+	}
+	if e.Error != nil {
+		g.code = e.Error.Code
+		g.ran = e.Error.Ran
+	}
+	for _, c := range e.Choices {
+		g.text += c.Text
+		if c.Finish != nil {
+			g.finish = *c.Finish
+		}
+	}
+}
+
+// expected is the whole answer to a prompt.
+func expected(version, prompt string, limit int) string {
+	tokens, _ := rwmodel.Answer(version, rwmodel.Tokenize(prompt), limit)
+	text := ""
+	for _, t := range tokens {
+		text += string(t.Text)
+	}
+	return strings.ToValidUTF8(text, "\ufffd")
+}
+
+func requireWhole(t *testing.T, a ask, g got) {
+	t.Helper()
+	require.Equal(t, http.StatusOK, g.status, "code %s", g.code)
+	require.Empty(t, g.code)
+	require.False(t, g.broken, "the stream broke")
+	require.NotEmpty(t, g.finish)
+	require.Equal(t, expected(g.version, a.prompt, a.tokens), g.text)
+}
+
+// busiest is the engine that runs most streams.
+func (f *fleet) busiest() int {
+	best, most := 0, 0
+	for n, e := range f.engines {
+		if c := e.Counts(); c.Running > most {
+			best, most = n, c.Running
+		}
+	}
+	require.Positive(f.t, most, "no engine runs a stream")
+	return best
+}
+
+func prompt(n int) string {
+	return strings.Repeat("aisle sign, house style one. ", 20) + fmt.Sprintf("brief %d", n)
+}
+
+func engineName(n int) string { return fmt.Sprintf("e%d", n) }
+
+// running starts a completion in the background and waits until it is under
+// way.
+func (f *fleet) running(n int, a ask) <-chan got {
+	done := make(chan got, 1)
+	go func() { done <- f.complete(n, a) }()
+	time.Sleep(time.Second)
+	return done
+}
+
+// primaryOf is the instance that is primary of the only running generation.
+func (f *fleet) primaryOf() int {
+	for n, i := range f.instances {
+		if i.primary.Running() > 0 {
+			return n
+		}
+	}
+	require.Fail(f.t, "no instance runs a generation")
+	return 0
+}
+
+// kill ends an instance as the death of its process does.
+func (f *fleet) kill(n int) { f.network.Kill(instanceName(n)) }
+
+// resume comes back with a cursor at an instance.
+func (f *fleet) resume(n int, a ask, g got) got {
+	a.cursor = g.cursor
+	rest := f.complete(n, a)
+	rest.text = g.text + rest.text
+	return rest
+}
+
+// another returns an instance that is none of the given ones.
+func (f *fleet) another(not ...int) int {
+	for n := range f.instances {
+		free := true
+		for _, m := range not {
+			free = free && n != m
+		}
+		if free {
+			return n
+		}
+	}
+	require.Fail(f.t, "no instance left")
+	return 0
+}
+
+// begin starts a completion in the background.
+func (f *fleet) begin(n int, a ask) <-chan got {
+	done := make(chan got, 1)
+	go func() { done <- f.complete(n, a) }()
+	return done
+}
+
+var outage = rwstandin.PlatformFaults{Outage: true}
+
+func indexOf(text, part string) int { return strings.Index(text, part) }
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -17,9 +17,11 @@
 	"ragwortwall/internal/rwgeneration"
 	"ragwortwall/internal/rwmember"
 	"ragwortwall/internal/rwnet"
+	"ragwortwall/internal/rwonce"
 	"ragwortwall/internal/rwplatform"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
+	"ragwortwall/internal/rwservice"
 	"ragwortwall/internal/rwsettings"
 	"ragwortwall/internal/rwslot"
 )
@@ -54,6 +56,7 @@
 	primary     *rwgeneration.Primary
 	gateway     *rwgateway.Gateway
 	claims      *claims
+	ledger      *routedLedger
 	started     time.Time
 }
 
@@ -93,14 +96,24 @@
 		Counters: i.counters,
 		Log:      i.Log.WithName("primary"),
 	}
+	i.ledger = &routedLedger{instance: i, here: rwonce.NewLedger(i.platform, rwonce.DefaultInterval)}
 	i.claims = &claims{view: i.view, peers: i.peers.Instance}
 	i.gateway = &rwgateway.Gateway{
 		View:      i.view,
 		Tree:      i.settings.Tree,
 		Primaries: &primaries{instance: i},
 		Claims:    i.claims,
-		Counters:  i.counters,
-		Log:       i.Log.WithName("gateway"),
+		Here:      i.primary.Runs,
+		Services: &rwservice.Proxy{
+			Tree:   i.settings.Tree,
+			Slots:  i.slots,
+			Ledger: i.ledger,
+			Budget: i.budget,
+			Once:   rwnet.OnceClient(i.Network),
+			Log:    i.Log.WithName("service"),
+		},
+		Counters: i.counters,
+		Log:      i.Log.WithName("gateway"),
 	}
 }
 
--- a/internal/rwserve/server.go
+++ b/internal/rwserve/server.go
@@ -97,6 +97,9 @@
 			return out.Send(&rwwire.Chunk{Primary: primary})
 		}
 	}
+	if primary, ok := i.gateway.PrimaryOfCopy(id); ok && primary != i.Config.Name && r.Gateway != i.Config.Name && !i.primary.Runs(id) {
+		return out.Send(&rwwire.Chunk{Primary: primary})
+	}
 	return i.primary.Serve(r, out)
 }
 
--- a/internal/rwstandin/platform.go
+++ b/internal/rwstandin/platform.go
@@ -142,7 +142,7 @@
 	case watch:
 		p.serveWatch(w, r, kind)
 	case r.Method == http.MethodGet && name == "":
-		p.serveList(w, kind)
+		p.serveList(w, kind, r.URL.Query().Get("labelSelector"))
 	case r.Method == http.MethodGet:
 		p.serveGet(w, kind, name)
 	default:
@@ -161,7 +161,8 @@
 	answer(w, http.StatusOK, o)
 }
 
-func (p *Platform) serveList(w http.ResponseWriter, kind string) {
+func (p *Platform) serveList(w http.ResponseWriter, kind, selector string) {
+	label, value, selects := strings.Cut(selector, "=")
 	p.mu.Lock()
 	from := p.objects
 	if p.faults.Stale {
@@ -169,7 +170,10 @@
 	}
 	l := rwobject.List{Metadata: metav1.ListMeta{ResourceVersion: strconv.Itoa(p.revision)}}
 	for key, o := range from {
-		if strings.HasPrefix(key, kind+"/") && !p.laggingLocked(kind, o) {
+		if !strings.HasPrefix(key, kind+"/") || p.laggingLocked(kind, o) {
+			continue
+		}
+		if !selects || o.Metadata.Labels[label] == value {
 			l.Items = append(l.Items, o)
 		}
 	}
