Keep two copies of each answer, and blame no request without evidence

Virtual time showed four more: a copy that ends before the engine's stream began asked for a negative offset; a cut connection was taken for the death of the server; suspects taken over with a stream were never cleared and blocked their server (gaps of 8 to 16 s); servers whose owner is dead were asked again and again. Ruled out: waiting longer at the caller; the copies were gone. A killed process that the test let run on as a zombie also told lies; the test now keeps it dead. Conclusion: a gateway that is also the primary hands the generation on; only a refused connection or another incarnation shows that a server died.

--- a/internal/rwcommand/load.go
+++ b/internal/rwcommand/load.go
@@ -28,6 +28,7 @@
 	Storm    bool          `long:"storm" description:"come back after a refusal at once"`
 	Patience time.Duration `long:"patience" default:"2m" description:"a caller gives up after this"`
 	Slow     time.Duration `long:"slow" description:"pause of the reader after each event"`
+	Break    time.Duration `long:"break" default:"500ms" description:"a longer gap counts as an interruption"`
 	Orders   float64       `long:"orders" description:"share of requests that are orders"`
 	Path     string        `long:"path" default:"/orders/new" description:"path of orders"`
 	JSON     bool          `long:"json" description:"print the report as JSON"`
@@ -60,7 +61,7 @@
 		Targets: strings.Split(c.Targets, ","), Key: c.Key, Model: c.Model, Rate: c.Rate,
 		Requests: c.Requests, Tokens: c.Tokens, Prompt: c.Prompt, Shared: c.Shared,
 		Styles: c.Styles, Seed: c.Seed, Repeat: c.Repeat, Storm: c.Storm,
-		Patience: c.Patience, Slow: c.Slow, Orders: c.Orders, Path: c.Path,
+		Patience: c.Patience, Slow: c.Slow, Break: c.Break, Orders: c.Orders, Path: c.Path,
 	}}
 	if !c.Quiet {
 		l.Progress = func(r rwload.Report) {
--- a/internal/rwcommand/main.go
+++ b/internal/rwcommand/main.go
@@ -1,6 +1,7 @@
 package rwcommand
 
 import (
+	"expvar"
 	"io"
 
 	"github.com/jessevdk/go-flags"
@@ -50,6 +51,8 @@
 	ctx, stop := interruptible()
 	defer stop()
 	instance := &rwserve.Instance{Config: config, Network: rwnet.TCP{}, Log: log.WithValues("instance", config.Name)}
+	instance.Init()
+	expvar.Publish("ragwortwall", expvar.Func(func() any { return instance.Metrics() }))
 	return instance.Run(ctx)
 }
 
--- /dev/null
+++ b/internal/rwcommand/measure.go
@@ -0,0 +1,51 @@
+package rwcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/jessevdk/go-flags"
+
+	"ragwortwall/internal/rwmeasure"
+)
+
+type measureOptions struct {
+	List      bool `long:"list" description:"list the scenarios"`
+	Arguments struct {
+		Scenarios []string `positional-arg-name:"scenario"`
+	} `positional-args:"yes"`
+}
+
+// MainMeasure runs the program rwmeasure and returns its exit code: 0 if all
+// targets hold.
+func MainMeasure(args []string, out, err io.Writer) int {
+	var opts measureOptions
+	parser := flags.NewNamedParser("rwmeasure", flags.HelpFlag|flags.PassDoubleDash)
+	if _, e := parser.AddGroup("rwmeasure", "", &opts); e != nil {
+		panic(e)
+	}
+	if code := run(parser, args, output{out: out, err: err}); code != exitDone {
+		return code
+	}
+	if opts.List {
+		for _, s := range rwmeasure.Scenarios {
+			fmt.Fprintf(out, "%-10s %s\n", s.Name, s.About)
+		}
+		return exitDone
+	}
+	self, e := os.Executable()
+	if e != nil {
+		fmt.Fprintln(err, e)
+		return exitFailed
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	bench := &rwmeasure.Bench{Bin: filepath.Dir(self), Out: out}
+	if e := bench.Run(ctx, opts.Arguments.Scenarios...); e != nil {
+		fmt.Fprintln(err, e)
+		return exitFailed
+	}
+	return exitDone
+}
--- a/internal/rwgateway/gateway.go
+++ b/internal/rwgateway/gateway.go
@@ -16,7 +16,6 @@
 	"ragwortwall/internal/rwgeneration"
 	"ragwortwall/internal/rwmember"
 	"ragwortwall/internal/rwtree"
-	"ragwortwall/pkg/rwset"
 )
 
 // Claims binds Idempotency-Keys to bodies, wherever in the fleet.
@@ -252,7 +251,7 @@
 		primaries: g.Primaries,
 		log:       log,
 		counters:  g.Counters,
-		suspected: rwset.New[string](),
+		suspected: suspects{},
 		here:      g.Here,
 		noticed:   func(primary string) { g.noticePrimary(id, primary) },
 	}
--- a/internal/rwgateway/relay.go
+++ b/internal/rwgateway/relay.go
@@ -15,7 +15,6 @@
 	"ragwortwall/internal/rwmember"
 	"ragwortwall/internal/rwtoken"
 	"ragwortwall/internal/rwwire"
-	"ragwortwall/pkg/rwset"
 )
 
 // The times of a relay. The primary sends a heartbeat each 300 ms.
@@ -50,7 +49,7 @@
 	journal   *rwtoken.Journal // nil until the primary has told the run
 	lineage   *rwwire.Lineage
 	primary   string
-	suspected rwset.Set[string] // instances that were lost or silent
+	suspected suspects
 	noticed   func(primary string)
 	here      func(id rwcursor.ID) bool
 }
@@ -105,13 +104,13 @@
 			}
 			last = firstError(finish, err)
 			if err != nil {
-				r.suspected.Add(target)
+				r.suspected.add(target)
 			}
 		}
 		if !time.Now().Before(until) || last == nil {
 			return nil, r.notFound(resume, last)
 		}
-		r.suspected.Clear()
+		clear(r.suspected)
 		if !pause(ctx, adoptPause) {
 			return nil, ctx.Err()
 		}
@@ -159,7 +158,7 @@
 func (r *relay) targets(resume bool) []string {
 	self := r.view.Self().Name
 	ranked := rwmember.Rank(placement(r.spec.ID), r.view.Live())
-	ranked = slices.DeleteFunc(ranked, func(name string) bool { return name == self || r.suspected.Has(name) })
+	ranked = slices.DeleteFunc(ranked, func(name string) bool { return name == self || r.suspected.has(name) })
 	ranked = ranked[:min(targetsMost, len(ranked))]
 	if r.journal == nil && r.here(r.spec.ID) {
 		return append([]string{self}, ranked...)
@@ -185,13 +184,13 @@
 // by handing the copy to another instance.
 func (r *relay) again(ctx context.Context, h handler) (*rwtoken.Finish, error) {
 	r.counters.Add("primarylost", 1)
-	if !r.suspected.Has(r.primary) && r.view.Alive(r.primary) {
+	if !r.suspected.has(r.primary) && r.view.Alive(r.primary) {
 		finish, err := r.follow(ctx, r.primary, r.request(true), h)
 		if err == nil && !notHere(finish) {
 			return finish, nil
 		}
 	}
-	r.suspected.Add(r.primary)
+	r.suspected.add(r.primary)
 	return r.handOver(ctx, h)
 }
 
@@ -214,13 +213,13 @@
 				if errors.As(err, &caller) {
 					return nil, err
 				}
-				r.suspected.Add(target)
+				r.suspected.add(target)
 			}
 		}
 		if !time.Now().Before(until) || !pause(ctx, adoptPause) {
 			return &rwtoken.Finish{Err: r.notFound(true, nil).(*rwerror.Error)}, nil
 		}
-		r.suspected.Clear()
+		clear(r.suspected)
 	}
 }
 
@@ -272,7 +271,7 @@
 			return finish, "", err
 		}
 		if chunk.Moved {
-			r.suspected.Add(target)
+			r.suspected.add(target)
 			return nil, "", errors.Errorf("the primary is leaving")
 		}
 	}
--- a/internal/rwgeneration/attempt.go
+++ b/internal/rwgeneration/attempt.go
@@ -25,7 +25,8 @@
 	firstTime time.Duration
 	lastAt    time.Time
 	tokens    int
-	suspect   bool // it runs beside no other suspect
+	suspect   bool // it is to be cleared
+	isolated  bool // it is known to have run beside no other suspect
 	cleared   bool // it got past the place where a server died under it
 	proven    bool // it has run long enough for copies to run elsewhere
 
@@ -222,6 +223,7 @@
 		a.cleared = true
 		p.clear(g)
 		p.Slots.Clear(a.lineage.Stream)
+		go p.Tell(g.Spec.ID, p.Book.Of(rwpoison.Fingerprint(g.Spec.Fingerprint)))
 	}
 	if !a.proven && ran >= rwpoison.ProveAfter {
 		a.proven = true
--- a/internal/rwgeneration/generation.go
+++ b/internal/rwgeneration/generation.go
@@ -23,12 +23,13 @@
 	ended    time.Time
 	cancel   context.CancelFunc
 	taken    bool // the stream of an adopted lineage has been taken over
-	moved    bool // this instance is leaving: the gateways take the journal elsewhere
+	moved    bool // the gateways take the journal to another instance
 }
 
 // reader is a gateway that reads the generation.
 type reader struct {
 	position int
+	local    bool // the gateway is at this instance: it is no second copy
 }
 
 func newGeneration(spec Spec, run rwtoken.Run, lineage Lineage) *Generation {
@@ -72,10 +73,10 @@
 	return g.lineage, g.moved, g.changed
 }
 
-func (g *Generation) attach(position int) *reader {
+func (g *Generation) attach(position int, local bool) *reader {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := &reader{position: position}
+	r := &reader{position: position, local: local}
 	g.readers[r] = struct{}{}
 	g.signalLocked()
 	return r
@@ -150,6 +151,7 @@
 	}
 }
 
+// move has the gateways take the generation to another instance.
 func (g *Generation) move() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -157,6 +159,24 @@
 	g.signalLocked()
 }
 
+func (g *Generation) isMoved() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.moved
+}
+
+// alone reports whether no gateway at another instance has a copy.
+func (g *Generation) alone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r := range g.readers {
+		if !r.local {
+			return false
+		}
+	}
+	return len(g.readers) > 0
+}
+
 func (g *Generation) end(f rwtoken.Finish) {
 	g.mu.Lock()
 	if g.ended.IsZero() {
--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	quickTries = 2 // servers that are asked for a free slot before waiting at one
-	placePause = 200 * time.Millisecond
+	quickTries  = 2                      // servers that are asked for a free slot before waiting at one
+	urgentTries = 8                      // the same, when a caller has part of the answer or the request is suspect
+	urgentWait  = 400 * time.Millisecond // at one server, before asking the others again
+	placePause  = 100 * time.Millisecond
 )
 
 // place finds a server with a slot for the next attempt.
@@ -60,15 +62,23 @@
 // the generation was just taken over from a lost primary.
 func (p *Primary) adopted(g *Generation, tree rwtree.Tree) (*attempt, bool) {
 	lineage := g.Lineage()
+	count, _, _ := g.Journal.State()
 	if lineage.Stream == "" || !g.takeStream() {
 		return nil, false
 	}
+	if count < lineage.Base {
+		return nil, false // the copy ends before the stream began
+	}
 	server, ok := tree.Server(lineage.Server)
 	if !ok {
 		return nil, false
 	}
-	p.Slots.Adopt(server.Name, p.ask(g, lineage.Stream, 0, true))
-	return p.newAttempt(server, lineage, true), true
+	ask := p.ask(g, lineage.Stream, 0, true)
+	p.Slots.Adopt(server.Name, ask)
+	a := p.newAttempt(server, lineage, ask)
+	a.resume = true
+	a.incarnation = "" // the stream may be older than what is known of the server
+	return a, true
 }
 
 // takeStream reports, once, that the stream in the lineage is still to be
@@ -110,7 +120,11 @@
 		return nil, busy(route)
 	}
 	ordered := rwchoice.Order(rwchoice.Prefix(g.Spec.Prompt), candidates)
-	return p.acquire(ctx, g, tree, version, ordered, wait)
+	a, err := p.acquire(ctx, g, tree, version, ordered, wait)
+	if err != nil && changed != nil {
+		return p.afterTrial(ctx, g, tree, route, avoid, wait, changed)
+	}
+	return a, err
 }
 
 // afterTrial waits for the leading copy of the request to be placed, proven or
@@ -154,7 +168,7 @@
 		if !known || len(versions) == 0 {
 			versions = server.Versions
 		}
-		if load.Down || load.Leaving || !slices.Contains(versions, version) {
+		if load.Down || load.Leaving || !p.Slots.Owned(name) || !slices.Contains(versions, version) {
 			continue
 		}
 		c := rwchoice.Candidate{Name: name, Load: load}
@@ -175,10 +189,17 @@
 	count, _, _ := g.Journal.State()
 	resume := count > 0
 	number := g.Lineage().Attempt + 1
+	tries := quickTries
+	if resume || p.Book.Suspect(rwpoison.Fingerprint(g.Spec.Fingerprint)) {
+		tries = urgentTries
+	}
+	if resume {
+		wait = min(wait, urgentWait)
+	}
 	var refusal error
 	for i, c := range ordered {
 		patience := time.Duration(0)
-		last := i >= quickTries || i == len(ordered)-1
+		last := i >= tries || i == len(ordered)-1
 		if last {
 			c = shortestWait(ordered)
 			patience = wait
@@ -187,7 +208,9 @@
 		err := p.Slots.Acquire(ctx, c.Name, ask)
 		if err == nil {
 			server, _ := tree.Server(c.Name)
-			return p.begin(g, server, version, ask), nil
+			a := p.begin(g, server, version, ask)
+			a.isolated = ask.Suspect
+			return a, nil
 		}
 		refusal = soonest(refusal, err)
 		if last {
@@ -234,12 +257,10 @@
 		l.Attempt++
 	})
 	p.trials.placed(g, server.Name)
-	a := p.newAttempt(server, lineage, false)
-	a.suspect = ask.Suspect
-	return a
+	return p.newAttempt(server, lineage, ask)
 }
 
-func (p *Primary) newAttempt(server rwtree.NamedServer, lineage Lineage, resume bool) *attempt {
+func (p *Primary) newAttempt(server rwtree.NamedServer, lineage Lineage, ask rwslot.Ask) *attempt {
 	load, _ := p.Slots.Load(server.Name)
-	return &attempt{server: server, lineage: lineage, resume: resume, started: time.Now(), incarnation: load.Incarnation}
+	return &attempt{server: server, lineage: lineage, suspect: ask.Suspect, started: time.Now(), incarnation: load.Incarnation}
 }
--- a/internal/rwgeneration/primary.go
+++ b/internal/rwgeneration/primary.go
@@ -39,8 +39,10 @@
 	Acquire(ctx context.Context, server string, a rwslot.Ask) error
 	Adopt(server string, a rwslot.Ask)
 	Clear(lease string)
+	Drop(lease string)
 	Release(server, lease string, outcome rwslot.Outcome, token time.Duration)
 	Load(server string) (rwslot.Load, bool)
+	Owned(server string) bool
 }
 
 // Engines runs streams at backend servers.
@@ -106,6 +108,13 @@
 	Book     *rwpoison.Book
 	Budget   *rwretry.Budget
 	Refusals *rwretry.Refusals
+	Self     string // this instance's name
+
+	// Tell has the other instances that could become primary of copies of a
+	// request know a suspicion before any of them runs again.
+	Tell func(id rwcursor.ID, s rwpoison.Suspicion)
+
+	Others   func() bool // reports whether another instance could take a generation
 	Counters *Counters
 	Log      logr.Logger
 
--- a/internal/rwgeneration/run.go
+++ b/internal/rwgeneration/run.go
@@ -8,6 +8,7 @@
 
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwslot"
 	"ragwortwall/internal/rwtoken"
 	"ragwortwall/internal/rwtree"
 	"ragwortwall/pkg/rwset"
@@ -42,6 +43,10 @@
 			return
 		}
 		outcome, err := p.attempt(ctx, g, a)
+		if outcome != resultFinished && g.isMoved() {
+			p.leave(g, a)
+			return
+		}
 		p.settle(ctx, g, a, outcome)
 		switch outcome {
 		case resultFinished:
@@ -77,6 +82,15 @@
 
 func resumeLag() int { return lagBytes / bytesPerToken / 4 }
 
+// leave ends the work on a generation that another instance has taken over,
+// together with the stream and its lease.
+func (p *Primary) leave(g *Generation, a *attempt) {
+	p.Slots.Drop(a.lineage.Stream)
+	p.trials.ended(g)
+	p.forget(g)
+	p.Counters.Add("moved", 1)
+}
+
 // mayTry decides whether there may be one more attempt.
 func (p *Primary) mayTry(ctx context.Context, g *Generation, try int, last error) error {
 	if ctx.Err() != nil {
@@ -122,6 +136,7 @@
 // kept.
 func (p *Primary) giveUp(g *Generation, err error) {
 	e := rwerror.As(err)
+	p.Log.Info("generation given up", "generation", Text(g.Spec.ID), "organisation", g.Spec.Organisation, "cause", e.Error())
 	p.forget(g)
 	p.trials.ended(g)
 	if e.Kind == rwerror.KindOverloaded || e.Kind == rwerror.KindUnavailable {
@@ -164,23 +179,29 @@
 	})
 }
 
-// implicate suspects a request of having crashed the server it was lost at,
-// unless the server's process is seen to live on.
+// implicate suspects a request of having crashed the server it was lost at, if
+// the server's process is seen to be gone. A stream that broke for another
+// reason, such as a cut network, is no evidence.
 func (p *Primary) implicate(ctx context.Context, g *Generation, a *attempt) {
-	if p.survived(ctx, a) {
+	if !p.died(ctx, a) {
 		return
 	}
-	s := p.Book.Implicate(rwpoison.Fingerprint(g.Spec.Fingerprint), a.server.Name, a.suspect && !a.cleared)
+	s := p.Book.Implicate(rwpoison.Fingerprint(g.Spec.Fingerprint), a.server.Name, a.isolated && !a.cleared)
 	p.Log.V(1).Info("request implicated", "generation", Text(g.Spec.ID), "servers", s.Servers)
 	p.trials.unproven(g)
+	p.Tell(g.Spec.ID, s)
 }
 
-// survived reports whether the process that ran the attempt still answers.
-func (p *Primary) survived(ctx context.Context, a *attempt) bool {
+// died reports whether the process that ran the attempt is gone: nothing listens
+// at its address, or another process does.
+func (p *Primary) died(ctx context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	load, err := p.Engines.Load(ctx, a.server.Address)
-	return err == nil && a.incarnation != "" && load.Incarnation == a.incarnation
+	if err != nil {
+		return rwslot.Refused(err)
+	}
+	return a.incarnation != "" && load.Incarnation != a.incarnation
 }
 
 func streamName(g *Generation, attempt int) string {
--- a/internal/rwgeneration/serve.go
+++ b/internal/rwgeneration/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"ragwortwall/internal/rwcursor"
 	"ragwortwall/internal/rwerror"
@@ -22,7 +23,7 @@
 	if err != nil {
 		return out.Send(&rwwire.Chunk{Finish: &rwwire.Finish{Fault: rwwire.NewFault(rwerror.As(err))}})
 	}
-	reader := g.attach(int(r.Offset))
+	reader := g.attach(int(r.Offset), r.Gateway == p.Self)
 	defer g.detach(reader)
 	return p.stream(g, reader, int(r.Offset), out)
 }
@@ -64,6 +65,9 @@
 		if err != nil {
 			return err
 		}
+		if reader.local && p.mustMove(g) {
+			g.move()
+		}
 		// Read after the tokens, so that it is at least as new as they are.
 		lineage, moved, _ := g.state()
 		chunk := &rwwire.Chunk{Offset: int32(offset), Tokens: rwwire.PackTokens(tokens), Moved: moved && finish == nil}
@@ -86,6 +90,17 @@
 	}
 }
 
+// mustMove reports whether both copies of a running answer are at this instance.
+// Its gateway then takes its own to another, which becomes the primary.
+func (p *Primary) mustMove(g *Generation) bool {
+	count, _, ended := g.Journal.State()
+	return count > 0 && ended == nil && time.Since(g.begun) > settleTime && g.alone() && p.Others()
+}
+
+// settleTime is the least time that a generation stays where it was begun or
+// taken over.
+const settleTime = time.Second
+
 func changed(a, b Lineage) bool {
 	return a.Stream != b.Stream || len(a.Prompt) != len(b.Prompt)
 }
--- a/internal/rwload/client.go
+++ b/internal/rwload/client.go
@@ -31,6 +31,7 @@
 	last       time.Time
 	err        error
 	took       time.Duration
+	tokens     int
 }
 
 type event struct {
@@ -38,6 +39,9 @@
 	Choices []struct {
 		Text   string  `json:"text"`
 		Finish *string `json:"finish_reason"`
+
+		// An engine gives the tokens alone.
+		TokenIDs []uint32 `json:"token_ids"`
 	} `json:"choices"`
 	Error *rwerror.AnswerBody `json:"error"`
 }
@@ -60,8 +64,8 @@
 		res.err = err
 		return res
 	}
-	for try := r.Number; ; try++ {
-		target := l.Options.Targets[try%len(l.Options.Targets)]
+	for try := l.firstTarget(r); ; try++ {
+		target := l.target(try)
 		retry, err := l.try(ctx, target, r, body, res, started)
 		if err == nil {
 			break
@@ -84,6 +88,10 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+l.Options.Key)
 	request.Header.Set("Idempotency-Key", r.Key)
+	request.Header.Set("X-Request-Id", r.Key+strconv.Itoa(res.refusals+res.reconnects))
+	if l.Options.Direct {
+		res.text.Reset()
+	}
 	if res.cursor != "" {
 		request.Header.Set("Last-Event-ID", res.cursor)
 	}
@@ -187,6 +195,9 @@
 		if c.Finish != nil {
 			r.finish = *c.Finish
 		}
+		for _, id := range c.TokenIDs {
+			c.Text += string(rwmodel.Text(id))
+		}
 		if c.Text == "" {
 			continue
 		}
@@ -205,6 +216,9 @@
 
 // check compares an answer with the model's.
 func (l *Load) check(r Request, res *result) error {
+	if l.Options.Direct {
+		res.version = l.Options.Model
+	}
 	if res.finish == "" {
 		return errors.Errorf("the answer has no end: %v", res.err)
 	}
@@ -214,7 +228,8 @@
 		whole.Write(t.Text)
 	}
 	want := strings.ToValidUTF8(whole.String(), "\ufffd")
-	got := res.text.String()
+	res.tokens = len(tokens)
+	got := strings.ToValidUTF8(res.text.String(), "\ufffd")
 	switch {
 	case got != want:
 		return errors.Errorf("wrong answer of version %s: %s", res.version, difference(got, want))
--- a/internal/rwload/load.go
+++ b/internal/rwload/load.go
@@ -15,6 +15,7 @@
 	Progress func(Report) // called each second, if set
 
 	client *http.Client
+	ready  readiness
 	mu     sync.Mutex
 	tally  tally
 }
@@ -22,9 +23,10 @@
 // Run offers the whole load, open loop, and returns the report.
 func (l *Load) Run(ctx context.Context) Report {
 	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: l.Options.Requests, DisableCompression: true}}
-	l.tally = newTally()
+	l.tally = newTally(l.Options.Break)
 	started := time.Now()
 	stop := l.progress(started)
+	l.ready.watch(ctx, l.Options)
 	var wait sync.WaitGroup
 	pauses := l.Options.pauses()
 	next := started
@@ -87,7 +89,9 @@
 	report Report
 	first  *hdrhistogram.Histogram // microseconds
 	gap    *hdrhistogram.Histogram
-	stall  *hdrhistogram.Histogram // the longest gap of each answer that was resumed
+	stall  *hdrhistogram.Histogram // the longest gap of each answer
+	resume *hdrhistogram.Histogram // gaps longer than most
+	most   time.Duration
 }
 
 const (
@@ -96,8 +100,10 @@
 	errorsKept      = 20
 )
 
-func newTally() tally {
+func newTally(most time.Duration) tally {
 	return tally{
+		most:   most,
+		resume: hdrhistogram.New(1, histogramMost, histogramDigits),
 		report: Report{Orders: map[string]int{}},
 		first:  hdrhistogram.New(1, histogramMost, histogramDigits),
 		gap:    hdrhistogram.New(1, histogramMost, histogramDigits),
@@ -120,9 +126,14 @@
 		return
 	}
 	t.report.Whole++
+	t.report.Tokens += res.tokens
 	_ = t.first.RecordValue(res.first.Microseconds())
 	for _, g := range res.gaps {
 		_ = t.gap.RecordValue(g.Microseconds())
+		if t.most > 0 && g > t.most {
+			t.report.Breaks++
+			_ = t.resume.RecordValue(g.Microseconds())
+		}
 	}
 	_ = t.stall.RecordValue(res.longest.Microseconds())
 }
@@ -137,6 +148,7 @@
 	r.First = quantiles(l.tally.first)
 	r.Gap = quantiles(l.tally.gap)
 	r.Stall = quantiles(l.tally.stall)
+	r.Resume = quantiles(l.tally.resume)
 	return r
 }
 
--- a/internal/rwload/options.go
+++ b/internal/rwload/options.go
@@ -23,6 +23,9 @@
 	Storm    bool          // refused requests are sent again at once
 	Patience time.Duration // a caller gives up after this
 	Slow     time.Duration // pause of the reader after each event
+	Break    time.Duration // a longer gap between two events counts as an interruption
+	Direct   bool          // the targets are engines, chosen at random
+	Balanced bool          // leave out targets that are not ready, as a balancer does
 	Orders   float64       // share of requests that are orders
 	Path     string        // of orders
 }
--- a/internal/rwload/order.go
+++ b/internal/rwload/order.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	told := "unanswered"
 	for try := range orderTries {
-		target := l.Options.Targets[(r.Number+try)%len(l.Options.Targets)]
+		target := l.target(r.Number + try)
 		status, after, answer := l.post(ctx, target, r)
 		switch {
 		case status == http.StatusCreated:
--- a/internal/rwload/report.go
+++ b/internal/rwload/report.go
@@ -11,11 +11,14 @@
 	Whole      int            `json:"whole"`      // answers that were complete and right
 	Wrong      int            `json:"wrong"`      // answers with a missing, repeated or other token
 	Unfinished int            `json:"unfinished"` // requests without an answer
+	Tokens     int            `json:"tokens"`     // of the whole answers
 	Reconnects int            `json:"reconnects"`
 	Refusals   int            `json:"refusals"`
-	First      Quantiles      `json:"first"` // to the first token, in seconds
-	Gap        Quantiles      `json:"gap"`   // between events, in seconds
-	Stall      Quantiles      `json:"stall"` // the longest gap of each answer, in seconds
+	First      Quantiles      `json:"first"`  // to the first token, in seconds
+	Gap        Quantiles      `json:"gap"`    // between events, in seconds
+	Stall      Quantiles      `json:"stall"`  // the longest gap of each answer, in seconds
+	Breaks     int            `json:"breaks"` // gaps longer than the option Break
+	Resume     Quantiles      `json:"resume"` // these gaps, in seconds
 	Orders     map[string]int `json:"orders,omitempty"`
 	Errors     []string       `json:"errors,omitempty"`
 }
@@ -40,7 +43,7 @@
 	for _, line := range []struct {
 		name string
 		q    Quantiles
-	}{{"first token", r.First}, {"between events", r.Gap}, {"longest gap", r.Stall}} {
+	}{{"first token", r.First}, {"between events", r.Gap}, {"longest gap", r.Stall}, {"interruptions", r.Resume}} {
 		fmt.Fprintf(&b, "%-15s p50 %.4fs  p95 %.4fs  p99 %.4fs  most %.4fs\n", line.name, line.q.P50, line.q.P95, line.q.P99, line.q.Most)
 	}
 	for name, n := range r.Orders {
--- /dev/null
+++ b/internal/rwmeasure/orders.go
@@ -0,0 +1,99 @@
+package rwmeasure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ragwortwall/internal/rwlab"
+	"ragwortwall/internal/rwload"
+)
+
+const (
+	orderRate  = 200 // a second
+	orderCount = 3000
+)
+
+// orders places orders at 200 a second while instances are killed, and counts at
+// the service what ran.
+func (b *Bench) orders(ctx context.Context) error {
+	fleet, stop, err := b.fleet(ctx, &rwlab.Fleet{Instances: 6, Zones: 3, Engines: 1, Services: 3, Capacity: 4})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	o := options(fleet)
+	o.Requests = orderCount
+	o.Rate = orderRate
+	o.Orders = 1
+	o.Prompt = 100
+	before, err := storeCalls(fleet)
+	if err != nil {
+		return err
+	}
+	var wait sync.WaitGroup
+	var report rwload.Report
+	wait.Go(func() { report = (&rwload.Load{Options: o}).Run(ctx) })
+	for round := range 3 {
+		time.Sleep(3 * time.Second)
+		if err := fleet.Kill(fleet.InstanceName(round)); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+		if err := fleet.Restart(fleet.InstanceName(round)); err != nil {
+			return err
+		}
+	}
+	wait.Wait()
+	after, err := storeCalls(fleet)
+	if err != nil {
+		return err
+	}
+	ran, twice, err := b.counted(fleet)
+	if err != nil {
+		return err
+	}
+	b.most("orders.twice", float64(twice), "orders", 0)
+	falsely := max(0, ran+report.Orders["notrun"]-orderCount)
+	b.most("orders.false.notrun", float64(falsely), "orders", 0)
+	b.figure("orders.ran", float64(ran), "orders")
+	for outcome, n := range report.Orders {
+		b.figure("orders."+outcome, float64(n), "orders")
+	}
+	b.most("orders.store.calls", (after-before)/orderCount, "calls/order", 0.2)
+	return nil
+}
+
+// counted returns how many orders ran, and how many of them more than once.
+func (b *Bench) counted(fleet *rwlab.Fleet) (ran, twice int, err error) {
+	all := map[string]int{}
+	for n := range fleet.Services {
+		orders := map[string]int{}
+		if err := fleet.Get(serviceName(n), "/standin/orders", &orders); err != nil {
+			return 0, 0, err
+		}
+		for key, times := range orders {
+			all[key] += times
+		}
+	}
+	for _, times := range all {
+		if times > 1 {
+			twice++
+		}
+	}
+	return len(all), twice, nil
+}
+
+func storeCalls(fleet *rwlab.Fleet) (float64, error) {
+	calls := map[string]int{}
+	if err := fleet.Get("platform", "/standin/calls", &calls); err != nil {
+		return 0, err
+	}
+	total := 0
+	for name, n := range calls {
+		if len(name) > 8 && name[len(name)-7:] == "records" {
+			total += n
+		}
+	}
+	return float64(total), nil
+}
--- a/internal/rwmember/view.go
+++ b/internal/rwmember/view.go
@@ -43,6 +43,7 @@
 	mu       sync.Mutex
 	members  map[string]*Member
 	leaving  bool
+	informed bool // the platform's list or the own settings named the members
 	changed  time.Time
 	lastLive []string
 }
@@ -54,6 +55,7 @@
 	for _, p := range peers {
 		if p.Name != self.Name {
 			v.members[p.Name] = &Member{Peer: p, static: true, since: time.Now()}
+			v.informed = true
 		}
 	}
 	v.lastLive = v.liveLocked(time.Now())
@@ -68,6 +70,7 @@
 func (v *View) List(peers []Peer) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.informed = true
 	for _, m := range v.members {
 		m.listed = false
 		m.static = false
@@ -258,10 +261,14 @@
 
 // Majority reports whether this instance reached a majority of the listed
 // members, itself counted, by calls that began less than FenceAfter ago. An
-// instance that was paused finds, when it wakes, that it did not.
+// instance that was paused finds, when it wakes, that it did not; one that knows
+// of no list yet has none.
 func (v *View) Majority() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.informed {
+		return false
+	}
 	all, reached := 1, 1
 	now := time.Now()
 	for _, m := range v.members {
--- a/internal/rwpoison/book.go
+++ b/internal/rwpoison/book.go
@@ -28,7 +28,7 @@
 	ProveAfter = 3 * time.Second
 	// ClearAfter and ClearTokens are how far a suspect must get past the place
 	// where the server died to be cleared.
-	ClearAfter  = 400 * time.Millisecond
+	ClearAfter  = 100 * time.Millisecond
 	ClearTokens = 8
 	// QuarantineLife is how long a quarantine lasts.
 	QuarantineLife = time.Hour
@@ -77,6 +77,16 @@
 	return e.suspicion(f)
 }
 
+// Of returns what is known of a request.
+func (b *Book) Of(f Fingerprint) Suspicion {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.entries[f]; ok {
+		return e.suspicion(f)
+	}
+	return Suspicion{Fingerprint: f, Cleared: true}
+}
+
 // Merge takes in what another instance or the platform knows.
 func (b *Book) Merge(s Suspicion) {
 	b.mu.Lock()
--- a/internal/rwserve/answer_test.go
+++ b/internal/rwserve/answer_test.go
@@ -214,7 +214,8 @@
 				poisons = append(poisons, f.begin(n, ask{prompt: "POISON " + prompt(0), tokens: 100}))
 			}
 			for _, p := range poisons {
-				require.Equal(t, "quarantined", (<-p).code)
+				g := <-p
+				require.Equal(t, "quarantined", g.code, g.message)
 			}
 		}
 		for n, done := range innocents {
@@ -229,3 +230,56 @@
 		require.LessOrEqual(t, down, 2)
 	})
 }
+
+// TestAnswerRollingKillsOfPairs kills and restarts an engine and an instance
+// together, one pair after the other, and bounds the longest silence.
+func TestAnswerRollingKillsOfPairs(t *testing.T) {
+	withFleet(t, fleetOptions{instances: 4, engines: 6, capacity: 8}, func(f *fleet) {
+		a := func(n int) ask { return ask{prompt: prompt(n), tokens: 1200, key: fmt.Sprint(n)} }
+		var answers []<-chan got
+		for n := range 24 {
+			done := make(chan got, 1)
+			go func() { done <- f.whole(n%4, a(n)) }()
+			answers = append(answers, done)
+		}
+		time.Sleep(time.Second)
+		for n := range 4 {
+			f.engines[n].Kill()
+			f.kill(n)
+			time.Sleep(1500 * time.Millisecond)
+			f.restartEngine(n)
+			f.restart(n)
+			time.Sleep(2500 * time.Millisecond)
+		}
+		for n, done := range answers {
+			g := <-done
+			requireWhole(t, a(n), g)
+			require.Less(t, g.gap, resumeBound, "answer %d", n)
+		}
+	})
+}
+
+// TestAnswerRollingKills kills and restarts one instance after the other while
+// callers stream and come back.
+func TestAnswerRollingKills(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := func(n int) ask { return ask{prompt: prompt(n), tokens: 1500, key: fmt.Sprint(n)} }
+		var answers []<-chan got
+		for n := range 8 {
+			done := make(chan got, 1)
+			go func() { done <- f.whole(n%4, a(n)) }()
+			answers = append(answers, done)
+		}
+		time.Sleep(time.Second)
+		for n := range f.instances {
+			f.kill(n)
+			time.Sleep(1500 * time.Millisecond)
+			f.restart(n)
+			time.Sleep(time.Second)
+		}
+		for n, done := range answers {
+			g := <-done
+			requireWhole(t, a(n), g)
+		}
+	})
+}
--- a/internal/rwserve/exchange.go
+++ b/internal/rwserve/exchange.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"ragwortwall/internal/rwcursor"
 	"ragwortwall/internal/rwmember"
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwpoison"
@@ -21,6 +22,8 @@
 	heardMost       = 24
 	suspicionsMost  = 64
 	listInterval    = 2 * time.Second
+	tellPeers       = 3
+	tellTimeout     = 200 * time.Millisecond
 	rumourWhenFewer = 2 // rumours are sent when there are this many peers or more
 )
 
@@ -83,11 +86,32 @@
 	}
 	known := i.book.Known()
 	for _, s := range known[:min(suspicionsMost, len(known))] {
-		d.Suspicions = append(d.Suspicions, &rwwire.Suspicion{Fingerprint: uint64(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
+		d.Suspicions = append(d.Suspicions, suspicionToWire(s))
 	}
 	return d
 }
 
+// tell hands a suspicion at once to the instances that rank first for copies of
+// the request; the others learn it by their exchanges.
+func (i *Instance) tell(id rwcursor.ID, s rwpoison.Suspicion) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	ranked := rwmember.Rank(rwmember.PlacementKey(id[:]), i.view.Live())
+	d := i.digest()
+	d.Suspicions = append(d.Suspicions, suspicionToWire(s))
+	var wait sync.WaitGroup
+	for _, name := range ranked[:min(tellPeers, len(ranked))] {
+		if m, ok := i.view.Member(name); ok && name != i.Config.Name {
+			wait.Go(func() { _, _ = i.peers.Instance(m.Address).Exchange(ctx, d) })
+		}
+	}
+	wait.Wait()
+}
+
+func suspicionToWire(s rwpoison.Suspicion) *rwwire.Suspicion {
+	return &rwwire.Suspicion{Fingerprint: uint64(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined}
+}
+
 // heard lists when this instance heard from some of the others.
 func (i *Instance) heard() []*rwwire.Heard {
 	members := i.view.Reachable()
@@ -111,14 +135,18 @@
 	for _, h := range d.Heard {
 		i.view.Rumour(h.Instance, h.Incarnation, time.Duration(h.Age)*time.Millisecond)
 	}
-	for _, s := range d.Suspicions {
-		i.book.Merge(rwpoison.Suspicion{Fingerprint: rwpoison.Fingerprint(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
-	}
+	i.learnSuspicions(d)
 	if d.Settings != i.settings.Tree().Digest() {
 		_ = i.settings.Fetch(ctx, address) // tried again at the next exchange
 	}
 }
 
+func (i *Instance) learnSuspicions(d *rwwire.Digest) {
+	for _, s := range d.Suspicions {
+		i.book.Merge(rwpoison.Suspicion{Fingerprint: rwpoison.Fingerprint(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
+	}
+}
+
 // listed is the spec of an entry of the platform's list of instances.
 type listed struct {
 	Address string `json:"address"`
--- a/internal/rwserve/fleet_test.go
+++ b/internal/rwserve/fleet_test.go
@@ -45,7 +45,9 @@
 	ended     []chan struct{}
 	client    *http.Client
 	team      rwtree.Team
+	hosts     []string // the network's name of each instance
 	cleanups  []func()
+	options   fleetOptions
 }
 
 type fleetOptions struct {
@@ -95,6 +97,7 @@
 		f.create(rwobject.New(rwobject.KindInstances, instanceName(n), listed{Address: instanceAddress(n), Zone: zoneOf(n)}))
 	}
 	for n := range o.instances {
+		f.hosts = append(f.hosts, instanceName(n))
 		f.startInstance(n, o.verbose)
 	}
 	time.Sleep(4 * time.Second) // the warm-up of the owners
@@ -135,6 +138,7 @@
 	e.Crash = func(string) { f.network.Kill(name) }
 	f.engines = append(f.engines, e)
 	f.serve(name, engineAddress(n), e.Handler())
+	f.options = o
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cleanups = append(f.cleanups, cancel)
 	go e.Run(ctx)
@@ -150,7 +154,7 @@
 			Name: instanceName(n), Zone: zoneOf(n), Callers: callersAddress(n), Instances: instanceAddress(n),
 			Operators: operatorsAddress(n), Platform: "http://10.0.9.1:80",
 		},
-		Network: f.network.Host(instanceName(n)),
+		Network: f.network.Host(f.hosts[n]),
 		Log:     log.WithName(instanceName(n)),
 	}
 	i.Init()
@@ -160,15 +164,32 @@
 		defer close(ended)
 		_ = i.Run(ctx)
 	}()
-	f.instances = append(f.instances, i)
+	if n < len(f.instances) {
+		f.instances[n] = i
+	} else {
+		f.instances = append(f.instances, i)
+	}
 	f.stops = append(f.stops, cancel)
 	f.ended = append(f.ended, ended)
 }
 
+// restartEngine starts a killed engine again, as a new process.
+func (f *fleet) restartEngine(n int) {
+	f.network.Revive(engineName(n))
+	f.serve(engineName(n), engineAddress(n), f.engines[n].Handler())
+}
+
+// restart starts a killed instance again, as a new process. What runs of the
+// old one stays dead.
+func (f *fleet) restart(n int) {
+	f.hosts[n] += "'"
+	f.startInstance(n, f.options.verbose)
+}
+
 func (f *fleet) stop() {
 	f.network.Heal()
-	for n := range f.instances {
-		f.stops[n]()
+	for _, stop := range f.stops {
+		stop()
 	}
 	for _, cleanup := range f.cleanups {
 		cleanup()
@@ -210,6 +231,8 @@
 	events  int
 	code    string
 	ran     string
+	message string
+	id      string
 	gap     time.Duration
 	broken  bool
 }
@@ -239,7 +262,7 @@
 		return got{broken: true}
 	}
 	defer response.Body.Close()
-	g := got{status: response.StatusCode, header: response.Header}
+	g := got{status: response.StatusCode, header: response.Header, id: response.Header.Get("Generation-Id")}
 	if response.StatusCode != http.StatusOK {
 		content, _ := io.ReadAll(response.Body)
 		g.take(f.t, content)
@@ -302,8 +325,9 @@
 			Finish *string `json:"finish_reason"`
 		} `json:"choices"`
 		Error *struct {
-			Code string `json:"code"`
-			Ran  string `json:"ran"`
+			Code    string `json:"code"`
+			Ran     string `json:"ran"`
+			Message string `json:"message"`
 		} `json:"error"`
 	}
 	require.NoError(t, json.Unmarshal(data, &e), string(data))
@@ -313,6 +337,7 @@
 	if e.Error != nil {
 		g.code = e.Error.Code
 		g.ran = e.Error.Ran
+		g.message = e.Error.Message
 	}
 	for _, c := range e.Choices {
 		g.text += c.Text
@@ -334,7 +359,7 @@
 
 func requireWhole(t *testing.T, a ask, g got) {
 	t.Helper()
-	require.Equal(t, http.StatusOK, g.status, "code %s", g.code)
+	require.Equal(t, http.StatusOK, g.status, "code %s: %s", g.code, g.message)
 	require.Empty(t, g.code)
 	require.False(t, g.broken, "the stream broke")
 	require.NotEmpty(t, g.finish)
@@ -380,7 +405,7 @@
 }
 
 // kill ends an instance as the death of its process does.
-func (f *fleet) kill(n int) { f.network.Kill(instanceName(n)) }
+func (f *fleet) kill(n int) { f.network.Kill(f.hosts[n]) }
 
 // resume comes back with a cursor at an instance.
 func (f *fleet) resume(n int, a ask, g got) got {
@@ -415,3 +440,28 @@
 var outage = rwstandin.PlatformFaults{Outage: true}
 
 func indexOf(text, part string) int { return strings.Index(text, part) }
+
+// whole asks for an answer as a patient caller does: whenever its connection
+// breaks it comes back with its cursor at the next instance.
+func (f *fleet) whole(n int, a ask) got {
+	var all got
+	for range 50 {
+		a.cursor = all.cursor
+		g := f.complete(n%len(f.instances), a)
+		g.text = all.text + g.text
+		g.events += all.events
+		if g.cursor == "" {
+			g.cursor = all.cursor
+		}
+		if g.code != "" {
+			f.t.Log(time.Now(), "told", g.code, g.message, "generation", all.id)
+		}
+		if g.finish != "" || g.code == "answerlost" {
+			return g
+		}
+		all = g
+		n++
+		time.Sleep(100 * time.Millisecond)
+	}
+	return all
+}
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -44,6 +44,7 @@
 	Log     logr.Logger
 
 	incarnation uint64
+	traffic     *rwnet.Traffic // between instances
 	peers       *rwnet.Peers
 	platform    *rwplatform.Client
 	view        *rwmember.View
@@ -68,6 +69,8 @@
 	if i.Inner == nil {
 		i.Inner = i.Network
 	}
+	i.traffic = &rwnet.Traffic{}
+	i.Inner = rwnet.Counted{Network: i.Inner, Traffic: i.traffic}
 	i.started = time.Now()
 	i.incarnation = rand.Uint64()
 	i.peers = rwnet.NewPeers(i.Inner)
@@ -93,6 +96,9 @@
 		Book:     i.book,
 		Budget:   i.budget,
 		Refusals: &rwretry.Refusals{},
+		Self:     i.Config.Name,
+		Others:   i.others,
+		Tell:     i.tell,
 		Counters: i.counters,
 		Log:      i.Log.WithName("primary"),
 	}
@@ -214,6 +220,16 @@
 	}
 }
 
+// others reports whether another instance takes new work.
+func (i *Instance) others() bool {
+	for _, name := range i.view.Live() {
+		if name != i.Config.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // Ready reports why this instance should get no requests, or nil.
 func (i *Instance) Ready() error {
 	if i.view.Leaving() {
--- /dev/null
+++ b/internal/rwserve/metrics.go
@@ -0,0 +1,22 @@
+package rwserve
+
+import "runtime"
+
+// Metrics are the figures that expvar shows under the name ragwortwall. Their
+// names and units stand in docs/OPERATIONS.md.
+func (i *Instance) Metrics() map[string]any {
+	metrics := map[string]any{
+		"answers":     i.gateway.Active(),
+		"relays":      i.gateway.Relays(),
+		"generations": i.primary.Running(),
+		"journals":    i.primary.JournalBytes(),
+		"slots":       i.slots.Held(),
+		"members":     len(i.view.Reachable()),
+		"goroutines":  runtime.NumGoroutine(),
+		"traffic":     i.trafficState(),
+	}
+	for name, value := range i.counters.Values() {
+		metrics[name] = value
+	}
+	return metrics
+}
--- a/internal/rwserve/server.go
+++ b/internal/rwserve/server.go
@@ -55,6 +55,7 @@
 func (s *server) Exchange(ctx context.Context, d *rwwire.Digest) (*rwwire.Digest, error) {
 	i := s.instance
 	i.view.Called(d.Instance, d.Incarnation, d.Leaving)
+	i.learnSuspicions(d)
 	if m, ok := i.view.Member(d.Instance); ok {
 		go i.learn(context.WithoutCancel(ctx), d, m.Address)
 	}
--- a/internal/rwserve/state.go
+++ b/internal/rwserve/state.go
@@ -28,6 +28,24 @@
 	Budgets     map[string]float64     `json:"budgets"`
 	Suspicions  []rwpoison.Suspicion   `json:"suspicions"`
 	Counters    map[string]int64       `json:"counters"`
+	Traffic     TrafficState           `json:"traffic"`
+}
+
+// TrafficState is the traffic with other instances since the start.
+type TrafficState struct {
+	Sent     int64 `json:"sent"`     // bytes
+	Received int64 `json:"received"` // bytes
+	Writes   int64 `json:"writes"`
+	Dials    int64 `json:"dials"`
+}
+
+func (i *Instance) trafficState() TrafficState {
+	return TrafficState{
+		Sent:     i.traffic.Sent.Load(),
+		Received: i.traffic.Received.Load(),
+		Writes:   i.traffic.Writes.Load(),
+		Dials:    i.traffic.Dials.Load(),
+	}
 }
 
 // GenerationState is the state of one generation at its primary.
@@ -63,6 +81,7 @@
 		Budgets:     i.budget.Balances(),
 		Suspicions:  i.book.Known(),
 		Counters:    i.counters.Values(),
+		Traffic:     i.trafficState(),
 	}
 	if err := i.Ready(); err != nil {
 		s.Ready = err.Error()
--- a/internal/rwslot/client.go
+++ b/internal/rwslot/client.go
@@ -94,9 +94,13 @@
 		Weight: int32(a.Weight), Priority: int32(a.Priority), Tokens: int32(a.Tokens),
 		Patience: a.Patience.Milliseconds(), Resume: a.Resume, Fingerprint: a.Fingerprint, Suspect: a.Suspect,
 	})
-	if err != nil {
+	if Refused(err) {
+		c.View.Unreachable(owner)
+	} else if err != nil {
 		// The slot may have been granted: give it back in any case.
 		go c.release(owner, server, a.Lease, OutcomeStalled, 0)
+	}
+	if err != nil {
 		return rwerror.New(rwerror.KindUnavailable, "come back in a moment", "the owner of backend server %s did not answer: %v", server, err).WithRetryAfter(WarmUp)
 	}
 	c.learn(reply.Load)
@@ -132,6 +136,14 @@
 	}
 }
 
+// Drop stops renewing a lease that another instance has taken over. If none has,
+// the owner cancels the stream once the lease has run out.
+func (c *Client) Drop(lease string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.leases, lease)
+}
+
 // Release gives a slot back. token is the mean time between its tokens, or zero.
 func (c *Client) Release(server, lease string, outcome Outcome, token time.Duration) {
 	c.mu.Lock()
@@ -268,6 +280,12 @@
 	return l.Load, ok && time.Since(l.at) < loadLife
 }
 
+// Owned reports whether a server has an owner that answers.
+func (c *Client) Owned(server string) bool {
+	owner := c.Owner.OwnerOf(server)
+	return owner != "" && c.View.Alive(owner)
+}
+
 // Held returns how many slots this instance holds.
 func (c *Client) Held() int {
 	c.mu.Lock()
--- a/internal/rwstandin/engine.go
+++ b/internal/rwstandin/engine.go
@@ -275,7 +275,7 @@
 	e.mu.Lock()
 	s, ok := e.streams[r.PathValue("name")]
 	e.mu.Unlock()
-	if !ok || offset > s.length() {
+	if !ok || offset < 0 || offset > s.length() {
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
 	}
