Hand a generation on only when the gateway's copy is whole

Ruled out: slots, suspects and refusals: the log shows each attempt placed within 0.5 s, and callers got no refusal. A reader that holds more than a new primary waits for it to catch up on the same stream. TestAnswerReconnectAtPrimary failed before with 2 engine runs for 1.

--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -213,6 +213,7 @@
 			return a, nil
 		}
 		refusal = soonest(refusal, err)
+		p.Log.V(1).Info("no slot", "generation", Text(g.Spec.ID), "server", c.Name, "cause", err.Error())
 		if last {
 			break
 		}
@@ -257,6 +258,8 @@
 		l.Attempt++
 	})
 	p.trials.placed(g, server.Name)
+	p.Log.V(1).Info("attempt begins", "generation", Text(g.Spec.ID), "organisation", g.Spec.Organisation,
+		"server", server.Name, "attempt", lineage.Attempt, "version", version, "suspect", ask.Suspect)
 	return p.newAttempt(server, lineage, ask)
 }
 
--- a/internal/rwgeneration/primary.go
+++ b/internal/rwgeneration/primary.go
@@ -328,12 +328,13 @@
 }
 
 // Adopt takes over a generation whose primary is lost, from a gateway's copy.
-// When the generation is here already, the copy must agree with it.
+// When the generation is here already, that one stays, and the caller of Adopt
+// sees to it that the copy agrees with it.
 func (p *Primary) Adopt(spec Spec, run rwtoken.Run, lineage Lineage, tokens []rwtoken.Token) (*Generation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g, ok := p.generations[spec.ID]; ok {
-		return g, agree(g, run, tokens)
+		return g, nil
 	}
 	if e := p.Book.Refusal(rwpoison.Fingerprint(spec.Fingerprint)); e != nil {
 		return nil, e
@@ -347,28 +348,6 @@
 	return g, nil
 }
 
-func agree(g *Generation, run rwtoken.Run, tokens []rwtoken.Token) error {
-	digest := run.First()
-	for _, t := range tokens {
-		digest = digest.Next(t)
-	}
-	return CheckJoin(g.Journal, len(tokens), digest)
-}
-
-// CheckJoin checks what a reader holds against the journal. A reader that holds
-// more than the journal has lost the race against another's adoption.
-func CheckJoin(j *rwtoken.Journal, offset int, digest rwtoken.Digest) error {
-	if offset == 0 {
-		return nil
-	}
-	count, _, _ := j.State()
-	if offset > count {
-		return rwerror.New(rwerror.KindAnswerLost, "ask anew under a new Idempotency-Key",
-			"the rest of this answer is lost: the copy that survives is shorter").WithRan(rwerror.RanYes)
-	}
-	return j.Check(offset, digest)
-}
-
 func (p *Primary) beginLocked(g *Generation) {
 	ctx, cancel := context.WithDeadline(p.ctx, g.Spec.Deadline)
 	g.cancel = cancel
--- a/internal/rwgeneration/serve.go
+++ b/internal/rwgeneration/serve.go
@@ -19,7 +19,7 @@
 // Serve answers a gateway that starts, joins, resumes or hands over a
 // generation, and streams it. Its errors are typed faults in the stream.
 func (p *Primary) Serve(r *rwwire.StartRequest, out ChunkSender) error {
-	g, err := p.find(r)
+	g, err := p.find(out.Context(), r)
 	if err != nil {
 		return out.Send(&rwwire.Chunk{Finish: &rwwire.Finish{Fault: rwwire.NewFault(rwerror.As(err))}})
 	}
@@ -29,12 +29,40 @@
 }
 
 // find returns the generation that a gateway asks for and checks what it holds.
-func (p *Primary) find(r *rwwire.StartRequest) (*Generation, error) {
+func (p *Primary) find(ctx context.Context, r *rwwire.StartRequest) (*Generation, error) {
 	g, err := p.lookUp(r)
 	if err != nil {
 		return nil, err
 	}
-	return g, CheckJoin(g.Journal, int(r.Offset), rwtoken.Digest(r.Digest))
+	return g, join(ctx, g.Journal, int(r.Offset), rwtoken.Digest(r.Digest))
+}
+
+// joinPatience is how long a reader that holds more than the journal waits for
+// it: a new primary may still be reading the engine's stream up to there.
+const joinPatience = 3 * time.Second
+
+// join checks what a reader holds against the journal. A copy that differs, or
+// that the journal does not reach, can't be gone on with.
+func join(ctx context.Context, j *rwtoken.Journal, offset int, digest rwtoken.Digest) error {
+	if offset == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinPatience)
+	defer cancel()
+	for {
+		count, _, finish := j.State()
+		if offset <= count {
+			return j.Check(offset, digest)
+		}
+		if finish != nil {
+			break
+		}
+		if _, _, err := j.Wait(ctx, count, 1); err != nil {
+			break
+		}
+	}
+	return rwerror.New(rwerror.KindAnswerLost, "ask anew under a new Idempotency-Key",
+		"the rest of this answer is lost: the copy that survives is shorter").WithRan(rwerror.RanYes)
 }
 
 func (p *Primary) lookUp(r *rwwire.StartRequest) (*Generation, error) {
@@ -65,12 +93,13 @@
 		if err != nil {
 			return err
 		}
-		if reader.local && p.mustMove(g) {
+		caughtUp := len(tokens) < chunkTokens
+		if reader.local && caughtUp && p.mustMove(g) {
 			g.move()
 		}
 		// Read after the tokens, so that it is at least as new as they are.
 		lineage, moved, _ := g.state()
-		chunk := &rwwire.Chunk{Offset: int32(offset), Tokens: rwwire.PackTokens(tokens), Moved: moved && finish == nil}
+		chunk := &rwwire.Chunk{Offset: int32(offset), Tokens: rwwire.PackTokens(tokens), Moved: moved && caughtUp && finish == nil}
 		if first || changed(lineage, sent) {
 			chunk.Lineage = lineage.toWire(uint64(g.Journal.Run()))
 			sent = lineage
--- a/internal/rwlab/fleet.go
+++ b/internal/rwlab/fleet.go
@@ -139,7 +139,7 @@
 	file := filepath.Join(f.Logs, name+".json")
 	settings := map[string]any{
 		"name": name, "zone": f.zone(n), "callers": a.main, "instances": a.instances,
-		"operators": a.operators, "platform": "http://" + f.platform,
+		"operators": a.operators, "platform": "http://" + f.platform, "verbose": true,
 	}
 	if f.Drain > 0 {
 		settings["drain"] = f.Drain.String()
--- a/internal/rwload/client.go
+++ b/internal/rwload/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,8 @@
 	first      time.Duration
 	gaps       []time.Duration
 	longest    time.Duration // between two events
+	longestAt  time.Time     // when it ended
+	generation string
 	reconnects int
 	refusals   int
 	last       time.Time
@@ -105,6 +108,7 @@
 	if response.StatusCode != http.StatusOK {
 		return l.refused(ctx, response, res)
 	}
+	res.generation = response.Header.Get("Generation-Id")
 	err = l.read(response.Body, res, started)
 	if err == nil {
 		return false, nil
@@ -120,6 +124,7 @@
 func (l *Load) refused(ctx context.Context, response *http.Response, res *result) (bool, error) {
 	content, _ := io.ReadAll(response.Body)
 	res.refusals++
+	l.note(content)
 	err := errors.Errorf("status %d: %s", response.StatusCode, strings.TrimSpace(string(content)))
 	comesBack := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
 	if !comesBack || !l.Options.Repeat && !l.Options.Storm {
@@ -134,6 +139,23 @@
 	return true, err
 }
 
+// note counts a refusal under its reason.
+func (l *Load) note(content []byte) {
+	reason := "unknown"
+	if e, ok := rwerror.FromAnswer(content); ok {
+		reason = string(e.Kind) + ": " + namesOut(e.Message)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tally.report.Reasons[reason]++
+}
+
+var names = regexp.MustCompile(`[a-z]+/[a-z]+[0-9]+`)
+
+// namesOut replaces the names of backend servers, so that like reasons count
+// together.
+func namesOut(text string) string { return names.ReplaceAllString(text, "*") }
+
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -207,7 +229,10 @@
 		} else {
 			gap := now.Sub(r.last)
 			r.gaps = append(r.gaps, gap)
-			r.longest = max(r.longest, gap)
+			if gap > r.longest {
+				r.longest = gap
+				r.longestAt = now
+			}
 		}
 		r.last = now
 	}
--- a/internal/rwload/load.go
+++ b/internal/rwload/load.go
@@ -104,7 +104,7 @@
 	return tally{
 		most:   most,
 		resume: hdrhistogram.New(1, histogramMost, histogramDigits),
-		report: Report{Orders: map[string]int{}},
+		report: Report{Orders: map[string]int{}, Reasons: map[string]int{}},
 		first:  hdrhistogram.New(1, histogramMost, histogramDigits),
 		gap:    hdrhistogram.New(1, histogramMost, histogramDigits),
 		stall:  hdrhistogram.New(1, histogramMost, histogramDigits),
@@ -127,6 +127,9 @@
 	}
 	t.report.Whole++
 	t.report.Tokens += res.tokens
+	if gap := res.longest.Seconds(); gap > t.report.Worst.Gap {
+		t.report.Worst = Worst{Generation: res.generation, Gap: gap, Ended: res.longestAt}
+	}
 	_ = t.first.RecordValue(res.first.Microseconds())
 	for _, g := range res.gaps {
 		_ = t.gap.RecordValue(g.Microseconds())
--- a/internal/rwload/report.go
+++ b/internal/rwload/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Report is the result of a load.
@@ -19,6 +20,8 @@
 	Stall      Quantiles      `json:"stall"`  // the longest gap of each answer, in seconds
 	Breaks     int            `json:"breaks"` // gaps longer than the option Break
 	Resume     Quantiles      `json:"resume"` // these gaps, in seconds
+	Worst      Worst          `json:"worst"`
+	Reasons    map[string]int `json:"reasons,omitempty"` // of refusals
 	Orders     map[string]int `json:"orders,omitempty"`
 	Errors     []string       `json:"errors,omitempty"`
 }
@@ -31,6 +34,13 @@
 	Most float64 `json:"most"`
 }
 
+// Worst is the longest gap of all, for looking it up in the logs.
+type Worst struct {
+	Generation string    `json:"generation"`
+	Gap        float64   `json:"gap"` // seconds
+	Ended      time.Time `json:"ended"`
+}
+
 // Right reports whether no token was missing or repeated and every request got
 // its answer.
 func (r Report) Right() bool { return r.Wrong == 0 && r.Unfinished == 0 }
@@ -49,6 +59,9 @@
 	for name, n := range r.Orders {
 		fmt.Fprintf(&b, "orders %s: %d\n", name, n)
 	}
+	for reason, n := range r.Reasons {
+		fmt.Fprintf(&b, "refused %d: %s\n", n, reason)
+	}
 	for _, e := range r.Errors {
 		fmt.Fprintf(&b, "error: %s\n", e)
 	}
--- a/internal/rwmeasure/measure.go
+++ b/internal/rwmeasure/measure.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -111,23 +112,25 @@
 	_ = encoder.Encode(l)
 }
 
-// fleet starts a fleet for one scenario.
+const logsMode = 0o755
+
+// fleet starts a fleet for one scenario. Its logs stay in out/logs until the
+// next one starts.
 func (b *Bench) fleet(ctx context.Context, fleet *rwlab.Fleet) (*rwlab.Fleet, func(), error) {
-	logs, err := os.MkdirTemp("", "ragwortwall-measure-")
-	if err != nil {
+	logs := filepath.Join(filepath.Dir(b.Bin), "out", "logs")
+	if err := os.RemoveAll(logs); err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	if err := os.MkdirAll(logs, logsMode); err != nil {
 		return nil, nil, errors.Trace(err)
 	}
 	fleet.Bin = b.Bin
 	fleet.Logs = logs
-	stop := func() {
-		fleet.Stop()
-		_ = os.RemoveAll(logs)
-	}
 	if err := fleet.Start(ctx); err != nil {
-		stop()
+		fleet.Stop()
 		return nil, nil, err
 	}
-	return fleet, stop, nil
+	return fleet, fleet.Stop, nil
 }
 
 // options is a load on a fleet, to be changed as the scenario needs.
@@ -143,6 +146,10 @@
 func (b *Bench) whole(name string, r rwload.Report) {
 	b.most(name+".wrong", float64(r.Wrong), "answers", 0)
 	b.most(name+".unfinished", float64(r.Unfinished), "requests", 0)
+	fmt.Fprintf(os.Stderr, "%s longest gap %.3fs of %s until %s\n", name, r.Worst.Gap, r.Worst.Generation, r.Worst.Ended.UTC().Format(time.RFC3339Nano))
+	for reason, n := range r.Reasons {
+		fmt.Fprintln(os.Stderr, name, "refused", n, reason)
+	}
 	for _, e := range r.Errors {
 		fmt.Fprintln(os.Stderr, name, "error:", strings.TrimSpace(e))
 	}
--- a/internal/rwserve/answer_test.go
+++ b/internal/rwserve/answer_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// TestAnswerReconnectAtPrimary comes back at the primary itself, which hands the
+// generation on together with the engine's stream: no token is made twice,
+// however long the answer was.
+func TestAnswerReconnectAtPrimary(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := ask{prompt: prompt(1), tokens: 1200}
+		done := f.begin(0, a)
+		time.Sleep(8 * time.Second)
+		primary := f.primaryOf()
+		f.kill(0)
+		g := f.resume(primary, a, <-done)
+		requireWhole(t, a, g)
+		served := 0
+		for _, e := range f.engines {
+			served += e.Counts().Served
+		}
+		require.Equal(t, 1, served, "the engine's stream must be taken over")
+		require.Less(t, g.gap, resumeBound)
+	})
+}
+
 // TestAnswerAllCopiesLost loses gateway and primary: the caller is told at once
 // that the rest is lost.
 func TestAnswerAllCopiesLost(t *testing.T) {
--- a/internal/rwtree/tree.go
+++ b/internal/rwtree/tree.go
@@ -22,6 +22,7 @@
 	teams   map[string]Team
 	keys    map[string]Caller // by the SHA-256 of an API key in hex
 	servers map[string]NamedServer
+	moves   map[string]Move
 }
 
 // Caller is an organisation that an API key belongs to.
@@ -70,6 +71,7 @@
 		teams:   map[string]Team{},
 		keys:    map[string]Caller{},
 		servers: map[string]NamedServer{},
+		moves:   map[string]Move{},
 	}
 	for _, name := range sortedNames(objects) {
 		if err := t.add(name, objects[name].Spec); err != nil {
@@ -83,6 +85,9 @@
 	if name == RootName {
 		return prefixed(name, rwjson.Unmarshal(spec, &t.root))
 	}
+	if strings.HasPrefix(name, MovePrefix) {
+		return t.addMove(name, spec)
+	}
 	var team Team
 	if err := rwjson.Unmarshal(spec, &team); err != nil {
 		return prefixed(name, err)
@@ -102,6 +107,15 @@
 	return nil
 }
 
+func (t *Tree) addMove(name string, spec []byte) error {
+	var m Move
+	if err := rwjson.Unmarshal(spec, &m); err != nil {
+		return prefixed(name, err)
+	}
+	t.moves[name] = m
+	return m.check(name + " $")
+}
+
 // With returns a tree in which one object is replaced.
 func (t Tree) With(o rwobject.Object) (Tree, error) {
 	objects := maps.Clone(t.objects)
