Let copies of one request meet at one primary, whatever order they come in

Cause: two instances led new copies of a request on to each other, so that copies ran at two primaries and a crashing request took three servers; a server that was dying still accepted the probe, so its death was not held against the request. Ruled out: gossip delay (the suspicion was told at once). Two further failures were the test's: a killed host's links broke one by one, and what still ran of it told lies through the last of them; they now break together. Only the instance that ranks first leads on; the probe is repeated until it is refused or answered.

--- a/internal/rwfake/network.go
+++ b/internal/rwfake/network.go
@@ -103,6 +103,13 @@
 	n.mu.Unlock()
 }
 
+// broken reports whether either host is dead: its links break all at once.
+func (n *Network) broken(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead[from] || n.dead[to]
+}
+
 // blocked reports whether nothing passes from one host to another now, and
 // returns a channel that is closed when that may have changed.
 func (n *Network) blocked(from, to string) (bool, <-chan struct{}) {
--- a/internal/rwgateway/gateway.go
+++ b/internal/rwgateway/gateway.go
@@ -42,6 +42,10 @@
 	// a copy of the same request that runs.
 	Here func(id rwcursor.ID) bool
 
+	// SendAway notes where a new generation is sent. It reports false when a
+	// copy of the request runs here after all.
+	SendAway func(id rwcursor.ID, primary string) bool
+
 	mu      sync.Mutex
 	relayed map[rwcursor.ID]*relayed
 	active  atomic.Int64
@@ -114,7 +118,8 @@
 	}
 }
 
-func (g *Gateway) noticePrimary(id rwcursor.ID, primary string) {
+// NoticePrimary notes where a generation that passes through is sent.
+func (g *Gateway) NoticePrimary(id rwcursor.ID, primary string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r, ok := g.relayed[id]; ok {
@@ -253,7 +258,8 @@
 		counters:  g.Counters,
 		suspected: suspects{},
 		here:      g.Here,
-		noticed:   func(primary string) { g.noticePrimary(id, primary) },
+		noticed:   func(primary string) { g.NoticePrimary(id, primary) },
+		sendAway:  func(primary string) bool { return g.SendAway(id, primary) },
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.spec.Deadline)
 	defer cancel()
--- a/internal/rwgateway/relay.go
+++ b/internal/rwgateway/relay.go
@@ -52,6 +52,7 @@
 	suspected suspects
 	noticed   func(primary string)
 	here      func(id rwcursor.ID) bool
+	sendAway  func(primary string) bool
 }
 
 // handler takes in what a relay receives. It may block: the relay reads no
@@ -95,6 +96,9 @@
 	var last error
 	for {
 		for _, target := range r.targets(resume) {
+			if !resume && !r.sendAway(target) {
+				target = r.view.Self().Name
+			}
 			finish, err := r.follow(ctx, target, r.request(resume), h)
 			if err == nil && !notHere(finish) {
 				return finish, nil
--- a/internal/rwgeneration/primary.go
+++ b/internal/rwgeneration/primary.go
@@ -352,6 +352,7 @@
 	ctx, cancel := context.WithDeadline(p.ctx, g.Spec.Deadline)
 	g.cancel = cancel
 	p.generations[g.Spec.ID] = g
+	p.trials.enter(g)
 	go func() {
 		defer cancel()
 		p.run(ctx, g)
--- a/internal/rwgeneration/run.go
+++ b/internal/rwgeneration/run.go
@@ -197,11 +197,19 @@
 func (p *Primary) died(ctx context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	load, err := p.Engines.Load(ctx, a.server.Address)
-	if err != nil {
-		return rwslot.Refused(err)
+	for {
+		load, err := p.Engines.Load(ctx, a.server.Address)
+		switch {
+		case err == nil:
+			return a.incarnation != "" && load.Incarnation != a.incarnation
+		case rwslot.Refused(err):
+			return true
+		case ctx.Err() != nil:
+			return false
+		}
+		// A dying process may still accept a connection, and break it.
+		sleep(ctx, probePause)
 	}
-	return a.incarnation != "" && load.Incarnation != a.incarnation
 }
 
 func streamName(g *Generation, attempt int) string {
--- a/internal/rwgeneration/serve.go
+++ b/internal/rwgeneration/serve.go
@@ -21,7 +21,7 @@
 func (p *Primary) Serve(r *rwwire.StartRequest, out ChunkSender) error {
 	g, err := p.find(out.Context(), r)
 	if err != nil {
-		return out.Send(&rwwire.Chunk{Finish: &rwwire.Finish{Fault: rwwire.NewFault(rwerror.As(err))}})
+		return Refuse(err, out)
 	}
 	reader := g.attach(int(r.Offset), r.Gateway == p.Self)
 	defer g.detach(reader)
@@ -65,6 +65,18 @@
 		"the rest of this answer is lost: the copy that survives is shorter").WithRan(rwerror.RanYes)
 }
 
+// Prepare begins the generation that a gateway asks for, unless it is here, so
+// that from here on copies of the request find it.
+func (p *Primary) Prepare(r *rwwire.StartRequest) error {
+	_, err := p.lookUp(r)
+	return err
+}
+
+// Refuse answers a gateway with an error.
+func Refuse(err error, out ChunkSender) error {
+	return out.Send(&rwwire.Chunk{Finish: &rwwire.Finish{Fault: rwwire.NewFault(rwerror.As(err))}})
+}
+
 func (p *Primary) lookUp(r *rwwire.StartRequest) (*Generation, error) {
 	if r.Lineage != nil {
 		tokens, err := rwwire.UnpackTokens(r.Journal)
--- a/internal/rwgeneration/watchdog.go
+++ b/internal/rwgeneration/watchdog.go
@@ -14,6 +14,7 @@
 	watchInterval  = 200 * time.Millisecond
 	probeAfter     = 800 * time.Millisecond
 	probeTimeout   = 600 * time.Millisecond
+	probePause     = 50 * time.Millisecond
 	firstTokenMost = 15 * time.Second
 	betweenMost    = 2500 * time.Millisecond
 )
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -59,6 +59,7 @@
 	claims      *claims
 	ledger      *routedLedger
 	started     time.Time
+	route       sync.Mutex // held while it is decided where copies of a request meet
 }
 
 // Init builds the parts. Run calls it; tests may call it before.
@@ -110,6 +111,7 @@
 		Primaries: &primaries{instance: i},
 		Claims:    i.claims,
 		Here:      i.primary.Runs,
+		SendAway:  i.sendAway,
 		Services: &rwservice.Proxy{
 			Tree:   i.settings.Tree,
 			Slots:  i.slots,
--- a/internal/rwserve/server.go
+++ b/internal/rwserve/server.go
@@ -84,7 +84,7 @@
 	if _, here := i.primary.Find(id); here {
 		return i.primary.Serve(r, out)
 	}
-	if primary, ok := i.gateway.PrimaryOf(id); ok && primary != i.Config.Name && r.Gateway != i.Config.Name {
+	if primary, ok := i.gateway.PrimaryOf(id); ok && i.leadsOn(id, r, primary) {
 		return out.Send(&rwwire.Chunk{Primary: primary})
 	}
 	if r.Resume {
@@ -98,12 +98,48 @@
 			return out.Send(&rwwire.Chunk{Primary: primary})
 		}
 	}
-	if primary, ok := i.gateway.PrimaryOfCopy(id); ok && primary != i.Config.Name && r.Gateway != i.Config.Name && !i.primary.Runs(id) {
+	if primary, elsewhere := i.takeHere(id, r); elsewhere {
 		return out.Send(&rwwire.Chunk{Primary: primary})
 	}
 	return i.primary.Serve(r, out)
 }
 
+// takeHere begins a generation here, unless this instance's own gateway has sent
+// a copy of the request elsewhere. Both decisions are made under one lock: copies
+// that arrive together meet at one primary.
+func (i *Instance) takeHere(id rwcursor.ID, r *rwwire.StartRequest) (primary string, elsewhere bool) {
+	i.route.Lock()
+	defer i.route.Unlock()
+	primary, ok := i.gateway.PrimaryOfCopy(id)
+	if ok && i.leadsOn(id, r, primary) && !i.primary.Runs(id) {
+		return primary, true
+	}
+	_ = i.primary.Prepare(r) // a refusal is found, and answered, by Serve
+	return "", false
+}
+
+// leadsOn reports whether a gateway is to be sent on to the primary that this
+// instance's own gateway uses. For a new generation only the instance that ranks
+// first does so: were two to lead on to each other, copies would not meet.
+func (i *Instance) leadsOn(id rwcursor.ID, r *rwwire.StartRequest, primary string) bool {
+	if primary == i.Config.Name || r.Gateway == i.Config.Name {
+		return false
+	}
+	return r.Resume || rwmember.First(rwmember.PlacementKey(id[:]), i.view.Live()) == i.Config.Name
+}
+
+// sendAway notes that this instance's gateway sends a request to another
+// primary, unless a copy of it runs here.
+func (i *Instance) sendAway(id rwcursor.ID, primary string) bool {
+	i.route.Lock()
+	defer i.route.Unlock()
+	if primary != i.Config.Name && i.primary.Runs(id) {
+		return false
+	}
+	i.gateway.NoticePrimary(id, primary)
+	return true
+}
+
 func fault(e *rwerror.Error) *rwwire.Chunk {
 	return &rwwire.Chunk{Finish: &rwwire.Finish{Fault: rwwire.NewFault(e)}}
 }
