Version moves with a lease, containment without the store, operators' interface

Cause: moves and settings had no way in for operators and no decider. Ruled out: moves as a kind of their own with its own watch; as objects of the settings tree they spread by the same path and never revert by the same rule. A lease in each move; one fence object gives the lease and the fencing number.

--- a/internal/rwgeneration/attempt.go
+++ b/internal/rwgeneration/attempt.go
@@ -30,7 +30,8 @@
 	cleared   bool // it got past the place where a server died under it
 	proven    bool // it has run long enough for copies to run elsewhere
 
-	incarnation string // of the server's process, if known
+	load        float64 // of the server at the beginning, from 0 to 1
+	incarnation string  // of the server's process, if known
 }
 
 // tokenTime is the mean time between tokens, or zero when there are too few.
--- a/internal/rwgeneration/generation.go
+++ b/internal/rwgeneration/generation.go
@@ -22,8 +22,9 @@
 	begun    time.Time
 	ended    time.Time
 	cancel   context.CancelFunc
-	taken    bool // the stream of an adopted lineage has been taken over
-	moved    bool // the gateways take the journal to another instance
+	failed   string // the version that failed last; only the run's goroutine uses it
+	taken    bool   // the stream of an adopted lineage has been taken over
+	moved    bool   // the gateways take the journal to another instance
 }
 
 // reader is a gateway that reads the generation.
--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -152,6 +152,9 @@
 	if count > 0 {
 		return g.Lineage().Version
 	}
+	if g.failed != "" {
+		return p.Versions.Other(route, g.failed)
+	}
 	return p.Versions.Pick(route, g.Spec.ID)
 }
 
@@ -265,5 +268,8 @@
 
 func (p *Primary) newAttempt(server rwtree.NamedServer, lineage Lineage, ask rwslot.Ask) *attempt {
 	load, _ := p.Slots.Load(server.Name)
-	return &attempt{server: server, lineage: lineage, suspect: ask.Suspect, started: time.Now(), incarnation: load.Incarnation}
+	return &attempt{
+		server: server, lineage: lineage, suspect: ask.Suspect, started: time.Now(), incarnation: load.Incarnation,
+		load: float64(load.Held) / float64(max(1, server.Capacity)),
+	}
 }
--- a/internal/rwgeneration/primary.go
+++ b/internal/rwgeneration/primary.go
@@ -56,7 +56,7 @@
 // Versions says which version serves a generation, and learns how it did.
 type Versions interface {
 	Pick(route rwtree.NamedRoute, id rwcursor.ID) string
-	Contained(route, version string) bool
+	Other(route rwtree.NamedRoute, failed string) string
 	Observe(s Sample)
 }
 
@@ -69,6 +69,7 @@
 	First   time.Duration // to the first token
 	Token   time.Duration // mean between tokens
 	Tokens  int
+	Load    float64 // of the server when the attempt began, from 0 to 1
 }
 
 // Counters counts what the measures of the brief ask for.
@@ -252,6 +253,18 @@
 	return ok || p.trials.open(binary.LittleEndian.Uint64(id[:]))
 }
 
+// Pinned counts the running generations of a route that a version serves.
+func (p *Primary) Pinned(route, version string) int {
+	n := 0
+	for _, g := range p.All() {
+		_, _, finish := g.Journal.State()
+		if finish == nil && g.Spec.Route == route && g.Lineage().Version == version {
+			n++
+		}
+	}
+	return n
+}
+
 // Find returns a generation by identity.
 func (p *Primary) Find(id rwcursor.ID) (*Generation, bool) {
 	p.mu.Lock()
--- a/internal/rwgeneration/run.go
+++ b/internal/rwgeneration/run.go
@@ -65,6 +65,9 @@
 			continue
 		}
 		last = err
+		if outcome == resultFailed {
+			g.failed = a.lineage.Version
+		}
 		if outcome == resultGone {
 			continue
 		}
@@ -176,6 +179,7 @@
 		First:   a.firstTime,
 		Token:   a.tokenTime(),
 		Tokens:  a.tokens,
+		Load:    a.load,
 	})
 }
 
--- a/internal/rwserve/exchange.go
+++ b/internal/rwserve/exchange.go
@@ -11,6 +11,7 @@
 
 	"ragwortwall/internal/rwcursor"
 	"ragwortwall/internal/rwmember"
+	"ragwortwall/internal/rwmove"
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwslot"
@@ -84,6 +85,10 @@
 	for server, load := range i.owner.Loads() {
 		d.Loads = append(d.Loads, rwslot.ToWire(server, load))
 	}
+	for _, v := range i.mover.Verdicts() {
+		d.Verdicts = append(d.Verdicts, verdictToWire(v))
+	}
+	d.Evidence = i.mover.Share()
 	known := i.book.Known()
 	for _, s := range known[:min(suspicionsMost, len(known))] {
 		d.Suspicions = append(d.Suspicions, suspicionToWire(s))
@@ -136,11 +141,36 @@
 		i.view.Rumour(h.Instance, h.Incarnation, time.Duration(h.Age)*time.Millisecond)
 	}
 	i.learnSuspicions(d)
+	i.learnMoves(d)
 	if d.Settings != i.settings.Tree().Digest() {
 		_ = i.settings.Fetch(ctx, address) // tried again at the next exchange
 	}
 }
 
+func (i *Instance) learnMoves(d *rwwire.Digest) {
+	for _, v := range d.Verdicts {
+		i.mover.Learn(rwmove.Verdict{Move: v.Move, Begun: time.Unix(0, v.Begun).UTC(), Reason: v.Reason})
+	}
+	i.mover.Take(d.Instance, d.Incarnation, d.Evidence)
+}
+
+func verdictToWire(v rwmove.Verdict) *rwwire.Verdict {
+	return &rwwire.Verdict{Move: v.Move, Begun: v.Begun.UnixNano(), Reason: v.Reason}
+}
+
+// tellVerdict hands a verdict at once to all instances that answer.
+func (i *Instance) tellVerdict(v rwmove.Verdict) {
+	d := i.digest()
+	d.Verdicts = append(d.Verdicts, verdictToWire(v))
+	ctx, cancel := context.WithTimeout(context.Background(), rwmember.ExchangeTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, m := range i.view.Reachable() {
+		wait.Go(func() { _, _ = i.peers.Instance(m.Address).Exchange(ctx, d) })
+	}
+	wait.Wait()
+}
+
 func (i *Instance) learnSuspicions(d *rwwire.Digest) {
 	for _, s := range d.Suspicions {
 		i.book.Merge(rwpoison.Suspicion{Fingerprint: rwpoison.Fingerprint(s.Fingerprint), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
--- a/internal/rwserve/fleet_test.go
+++ b/internal/rwserve/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"ragwortwall/internal/rwconfig"
 	"ragwortwall/internal/rwfake"
+	"ragwortwall/internal/rwmember"
 	"ragwortwall/internal/rwmodel"
 	"ragwortwall/internal/rwnet"
 	"ragwortwall/internal/rwobject"
@@ -153,7 +154,7 @@
 	i := &Instance{
 		Config: rwconfig.Config{
 			Name: instanceName(n), Zone: zoneOf(n), Callers: callersAddress(n), Instances: instanceAddress(n),
-			Operators: operatorsAddress(n), Platform: "http://10.0.9.1:80",
+			Operators: operatorsAddress(n), Platform: "http://10.0.9.1:80", Peers: f.peers(),
 		},
 		Network: f.network.Host(f.hosts[n]),
 		Log:     log.WithName(instanceName(n)),
@@ -234,6 +235,7 @@
 	ran     string
 	message string
 	id      string
+	prompt  string
 	gap     time.Duration
 	broken  bool
 }
@@ -263,7 +265,7 @@
 		return got{broken: true}
 	}
 	defer response.Body.Close()
-	g := got{status: response.StatusCode, header: response.Header, id: response.Header.Get("Generation-Id")}
+	g := got{status: response.StatusCode, header: response.Header, id: response.Header.Get("Generation-Id"), prompt: a.prompt}
 	if response.StatusCode != http.StatusOK {
 		content, _ := io.ReadAll(response.Body)
 		g.take(f.t, content)
@@ -466,3 +468,12 @@
 	}
 	return all
 }
+
+// peers are all instances, as the settings of each process name them.
+func (f *fleet) peers() []rwmember.Peer {
+	var all []rwmember.Peer
+	for n := range f.options.instances {
+		all = append(all, rwmember.Peer{Name: instanceName(n), Address: instanceAddress(n), Zone: zoneOf(n)})
+	}
+	return all
+}
--- a/internal/rwserve/http.go
+++ b/internal/rwserve/http.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"expvar"
 	"net/http"
 
 	"github.com/kataras/iris/v12"
-
-	"ragwortwall/internal/rwerror"
 )
 
 // callersHandler is the callers' HTTP interface.
@@ -40,19 +37,6 @@
 	return build(app)
 }
 
-// operatorsHandler is the operators' HTTP interface.
-func (i *Instance) operatorsHandler() http.Handler {
-	app := newApp()
-	app.Get("/state", func(ctx iris.Context) {
-		if !i.operator(ctx) {
-			return
-		}
-		writeJSON(ctx.ResponseWriter(), i.State())
-	})
-	app.Get("/debug/vars", iris.FromStd(expvar.Handler()))
-	return build(app)
-}
-
 func newApp() *iris.Application {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -75,14 +59,3 @@
 	encoder.SetIndent("", "  ")
 	_ = encoder.Encode(v)
 }
-
-// operator checks that the request comes from an operator, and answers it if
-// not.
-func (i *Instance) operator(ctx iris.Context) bool {
-	key := ctx.GetHeader("Operator-Key")
-	if _, _, ok := i.settings.Tree().Operator(key); ok {
-		return true
-	}
-	rwerror.Write(ctx.ResponseWriter(), rwerror.New(rwerror.KindUnauthorized, "send the header Operator-Key with a key that settings name", "no operator has this key"))
-	return false
-}
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -16,8 +16,10 @@
 	"ragwortwall/internal/rwgateway"
 	"ragwortwall/internal/rwgeneration"
 	"ragwortwall/internal/rwmember"
+	"ragwortwall/internal/rwmove"
 	"ragwortwall/internal/rwnet"
 	"ragwortwall/internal/rwonce"
+	"ragwortwall/internal/rwoperate"
 	"ragwortwall/internal/rwplatform"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
@@ -58,6 +60,9 @@
 	gateway     *rwgateway.Gateway
 	claims      *claims
 	ledger      *routedLedger
+	editor      *rwoperate.Editor
+	mover       *rwmove.Mover
+	decider     *rwmove.Decider
 	started     time.Time
 	route       sync.Mutex // held while it is decided where copies of a request meet
 }
@@ -89,11 +94,25 @@
 }
 
 func (i *Instance) initRoles(engines *rwengine.Client) {
+	i.editor = &rwoperate.Editor{Store: i.platform, Settings: i.settings}
+	i.mover = &rwmove.Mover{
+		Self:   i.Config.Name,
+		Tree:   i.settings.Tree,
+		Editor: i.editor,
+		Loads:  i.slots,
+		Tell:   i.tellVerdict,
+		Peers:  i.peerNames,
+		Pinned: func(route, version string) int { return i.primary.Pinned(route, version) },
+		Log:    i.Log.WithName("move"),
+	}
+	i.decider = &rwmove.Decider{
+		Mover: i.mover, View: i.view, Store: i.platform, Orders: engines, Log: i.Log.WithName("decider"),
+	}
 	i.primary = &rwgeneration.Primary{
 		Tree:     i.settings.Tree,
 		Slots:    i.slots,
 		Engines:  engines,
-		Versions: staticVersions{},
+		Versions: i.mover,
 		Book:     i.book,
 		Budget:   i.budget,
 		Refusals: &rwretry.Refusals{},
@@ -162,6 +181,7 @@
 		i.primary.Run,
 		i.exchangeLoop,
 		i.listLoop,
+		i.decider.Run,
 	}
 }
 
@@ -222,6 +242,14 @@
 	}
 }
 
+func (i *Instance) peerNames() []string {
+	var names []string
+	for _, m := range i.view.Reachable() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // others reports whether another instance takes new work.
 func (i *Instance) others() bool {
 	for _, name := range i.view.Live() {
--- a/internal/rwserve/server.go
+++ b/internal/rwserve/server.go
@@ -56,6 +56,7 @@
 	i := s.instance
 	i.view.Called(d.Instance, d.Incarnation, d.Leaving)
 	i.learnSuspicions(d)
+	i.learnMoves(d)
 	if m, ok := i.view.Member(d.Instance); ok {
 		go i.learn(context.WithoutCancel(ctx), d, m.Address)
 	}
