Operators' commands: settings, organisations, routes, servers, moves, state, check

Cause: operators had an HTTP interface and no commands. Ruled out: commands that write the platform themselves; they go through an instance, which checks the whole tree and pushes the change.

--- a/internal/rwcommand/main.go
+++ b/internal/rwcommand/main.go
@@ -7,6 +7,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"ragwortwall/internal/rwconfig"
+	"ragwortwall/internal/rwmove"
 	"ragwortwall/internal/rwnet"
 	"ragwortwall/internal/rwserve"
 )
@@ -14,14 +15,41 @@
 type options struct {
 	Serve serveCommand `command:"serve" description:"run an entry instance"`
 	Hash  hashCommand  `command:"hash" description:"print the form in which settings hold a key"`
+	Check checkCommand `command:"check" description:"check settings without starting"`
+
+	Settings     settingsCommands     `command:"settings" description:"read and change the settings tree"`
+	Organisation organisationCommands `command:"organisation" description:"organisations and their API keys"`
+	Route        routeCommands        `command:"route" description:"routes to backend servers"`
+	Server       serverCommands       `command:"server" description:"backend servers"`
+	Move         moveCommands         `command:"move" description:"version moves"`
+	State        stateCommand         `command:"state" description:"print the state of an instance"`
+}
+
+// newOptions returns the commands with their output.
+func newOptions(o output) *options {
+	opts := &options{Hash: hashCommand{o: o}, Check: checkCommand{o: o}}
+	for _, c := range []*operatorOptions{
+		&opts.Settings.List.operatorOptions, &opts.Settings.Get.operatorOptions, &opts.Settings.Put.operatorOptions,
+		&opts.Settings.Status.operatorOptions, &opts.Settings.History.operatorOptions, &opts.Settings.Rollback.operatorOptions,
+		&opts.Organisation.List.operatorOptions, &opts.Organisation.Add.operatorOptions, &opts.Organisation.Remove.operatorOptions,
+		&opts.Route.List.operatorOptions, &opts.Server.Leave.operatorOptions, &opts.State.operatorOptions,
+		&opts.Move.Start.operatorOptions, &opts.Move.Status.operatorOptions, &opts.Move.TakeBack.operatorOptions,
+		&opts.Move.Pause.operatorOptions, &opts.Move.Resume.operatorOptions,
+	} {
+		c.o = o
+	}
+	opts.Move.TakeBack.action = rwmove.ActionTakeBack
+	opts.Move.Pause.action = rwmove.ActionPause
+	opts.Move.Resume.action = rwmove.ActionResume
+	return opts
 }
 
 // Main runs the program ragwortwall and returns its exit code.
 func Main(args []string, out, err io.Writer) int {
 	o := output{out: out, err: err}
-	opts := options{Hash: hashCommand{o: o}}
+	opts := newOptions(o)
 	parser := flags.NewNamedParser("ragwortwall", flags.HelpFlag|flags.PassDoubleDash)
-	if _, e := parser.AddGroup("ragwortwall", "", &opts); e != nil {
+	if _, e := parser.AddGroup("ragwortwall", "", opts); e != nil {
 		panic(e)
 	}
 	return run(parser, args, o)
