--- a/internal/rwcommand/main.go
+++ b/internal/rwcommand/main.go
@@ -79,6 +79,13 @@
 	ctx, stop := interruptible()
 	defer stop()
 	instance := &rwserve.Instance{Config: config, Network: rwnet.TCP{}, Log: log.WithValues("instance", config.Name)}
+	if config.TLS != nil {
+		keys, err := rwnet.LoadTLS(config.TLS.Certificate, config.TLS.Key, config.TLS.Authority)
+		if err != nil {
+			return err
+		}
+		instance.Inner = rwnet.TLS{Network: rwnet.TCP{}, Config: keys}
+	}
 	instance.Init()
 	expvar.Publish("ragwortwall", expvar.Func(func() any { return instance.Metrics() }))
 	return instance.Run(ctx)
--- a/internal/rwgeneration/run.go
+++ b/internal/rwgeneration/run.go
@@ -205,7 +205,7 @@
 		load, err := p.Engines.Load(ctx, a.server.Address)
 		switch {
 		case err == nil:
-			return a.incarnation != "" && load.Incarnation != a.incarnation
+			return a.incarnation != "" && rwslot.Short(load.Incarnation) != a.incarnation
 		case rwslot.Refused(err):
 			return true
 		case ctx.Err() != nil:
--- a/internal/rwlab/fleet.go
+++ b/internal/rwlab/fleet.go
@@ -47,6 +47,7 @@
 	Engine    []string // further arguments of each engine
 	Versions  []string // loaded at each engine; v1 if empty
 	Drain     time.Duration
+	Plain     bool                // the instances log no details
 	Route     func(*rwtree.Route) // changes the model's route, if set
 
 	mu        sync.Mutex
@@ -139,7 +140,7 @@
 	file := filepath.Join(f.Logs, name+".json")
 	settings := map[string]any{
 		"name": name, "zone": f.zone(n), "callers": a.main, "instances": a.instances,
-		"operators": a.operators, "platform": "http://" + f.platform, "verbose": true,
+		"operators": a.operators, "platform": "http://" + f.platform, "verbose": !f.Plain,
 	}
 	if f.Drain > 0 {
 		settings["drain"] = f.Drain.String()
--- a/internal/rwmeasure/measure.go
+++ b/internal/rwmeasure/measure.go
@@ -54,6 +54,7 @@
 	Out io.Writer
 
 	failed int
+	seen   map[string]float64
 }
 
 // Run runs the named scenarios, or all, and returns an error when a target does
@@ -107,6 +108,9 @@
 }
 
 func (b *Bench) print(l Line) {
+	if b.seen != nil {
+		b.seen[l.Name] = l.Value
+	}
 	encoder := json.NewEncoder(b.Out)
 	encoder.SetEscapeHTML(false)
 	_ = encoder.Encode(l)
--- a/internal/rwserve/exchange.go
+++ b/internal/rwserve/exchange.go
@@ -14,13 +14,12 @@
 	"ragwortwall/internal/rwmove"
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwpoison"
-	"ragwortwall/internal/rwslot"
 	"ragwortwall/internal/rwwire"
 )
 
 const (
-	exchangePeers   = 8 // peers of one round
-	heardMost       = 24
+	exchangePeers   = 5 // peers of one round
+	heardMost       = 8
 	suspicionsMost  = 64
 	listInterval    = 2 * time.Second
 	tellPeers       = 3
@@ -82,9 +81,7 @@
 		Settings:    i.settings.Tree().Digest(),
 		Heard:       i.heard(),
 	}
-	for server, load := range i.owner.Loads() {
-		d.Loads = append(d.Loads, rwslot.ToWire(server, load))
-	}
+	d.Loads = i.fresh.loads(i.owner.Loads(), time.Now())
 	for _, v := range i.mover.Verdicts() {
 		d.Verdicts = append(d.Verdicts, verdictToWire(v))
 	}
@@ -120,7 +117,7 @@
 // heard lists when this instance heard from some of the others.
 func (i *Instance) heard() []*rwwire.Heard {
 	members := i.view.Reachable()
-	if len(members) < rumourWhenFewer {
+	if len(members) < rumourWhenFewer || !inWindow(time.Now(), heardEvery, heardWindow) {
 		return nil
 	}
 	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -64,6 +64,7 @@
 	mover       *rwmove.Mover
 	decider     *rwmove.Decider
 	started     time.Time
+	fresh       fresh
 	route       sync.Mutex // held while it is decided where copies of a request meet
 }
 
--- a/internal/rwslot/owner.go
+++ b/internal/rwslot/owner.go
@@ -189,7 +189,15 @@
 	p.incarnation = load.Incarnation
 	p.misses = 0
 	p.seen = time.Now()
-	p.Report(load.Incarnation, load.Versions)
+	p.Report(Short(load.Incarnation), load.Versions)
+}
+
+// shortBytes is how much of an incarnation tells two apart.
+const shortBytes = 8
+
+// Short is the part of a server's incarnation that digests carry.
+func Short(incarnation string) string {
+	return incarnation[:min(shortBytes, len(incarnation))]
 }
 
 // Refused reports whether an error shows that no process listens at the
