--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 
 GO ?= go
 BIN := bin
+TOOLS := $(CURDIR)/$(BIN)/tools
+LINT_VERSION := v2.15.0
 
-.PHONY: build demo test generate
+.PHONY: build demo test unit prove lint bench measure slopes fuzz generate spin
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -11,9 +13,41 @@
 demo: build
 	$(BIN)/rwdemo
 
-test:
+test: build lint unit prove
+	$(BIN)/rwdemo
+
+unit:
 	$(GO) vet ./...
 	$(GO) test ./...
 
+prove: spin
+	scripts/prove.sh
+
+spin:
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin >/dev/null)
+
+lint: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint run ./...
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+bench: build
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+	$(BIN)/rwmeasure path
+
+measure: build
+	$(BIN)/rwmeasure
+
+slopes: build
+	$(BIN)/rwmeasure --slopes
+
+fuzz:
+	$(GO) test -fuzz FuzzCompletion -fuzztime 30s ./internal/rwgateway
+	$(GO) test -fuzz FuzzParse -fuzztime 30s ./internal/rwcursor
+	$(GO) test -fuzz FuzzUnpack -fuzztime 30s ./internal/rwwire
+	$(GO) test -fuzz FuzzMerge -fuzztime 30s ./internal/rwtree
+	$(GO) test -fuzz FuzzStream -fuzztime 30s ./internal/rwengine
+
 generate:
 	protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. internal/rwwire/rwwire.proto
--- /dev/null
+++ b/internal/rwcursor/cursor_test.go
@@ -0,0 +1,63 @@
+package rwcursor
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ragwortwall/internal/rwerror"
+)
+
+var (
+	keyA = []byte("0123456789abcdef")
+	keyB = []byte("fedcba9876543210")
+)
+
+func TestCursor(t *testing.T) {
+	c := Cursor{ID: ID{1, 2, 3}, Run: 7, Offset: 42, Digest: 99}
+	text := NewSigner(keyA).Sign("team/coop", c)
+	for name, test := range map[string]struct {
+		signer       *Signer
+		organisation string
+		text         string
+		good         bool
+	}{
+		"as signed":               {NewSigner(keyA), "team/coop", text, true},
+		"with an older key":       {NewSigner(keyB, keyA), "team/coop", text, true},
+		"with a dropped key":      {NewSigner(keyB), "team/coop", text, false},
+		"another organisation":    {NewSigner(keyA), "team/other", text, false},
+		"one character changed":   {NewSigner(keyA), "team/coop", "A" + text[1:], false},
+		"cut short":               {NewSigner(keyA), "team/coop", text[:len(text)-1], false},
+		"something else entirely": {NewSigner(keyA), "team/coop", "42", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := test.signer.Parse(test.organisation, test.text)
+			if test.good {
+				require.NoError(t, err)
+				require.Equal(t, c, got)
+				return
+			}
+			require.True(t, rwerror.Is(err, rwerror.KindCursor))
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	signer := NewSigner(keyA)
+	f.Add(signer.Sign("team/coop", Cursor{Offset: 1}))
+	f.Add("")
+	f.Add("AAAA")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := signer.Parse("team/coop", text)
+		if err == nil {
+			require.Equal(t, text, signer.Sign("team/coop", c), "only what was signed is accepted")
+		}
+	})
+}
+
+func BenchmarkSign(b *testing.B) {
+	signer := NewSigner(keyA)
+	for b.Loop() {
+		signer.Sign("team/coop", Cursor{Offset: 1})
+	}
+}
--- /dev/null
+++ b/internal/rwengine/client_test.go
@@ -0,0 +1,60 @@
+package rwengine
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func read(text string) (pieces []Piece, err error) {
+	s := &Stream{body: io.NopCloser(strings.NewReader(text)), scanner: bufio.NewScanner(strings.NewReader(text))}
+	for {
+		p, err := s.Next()
+		if err != nil {
+			return pieces, err
+		}
+		pieces = append(pieces, p)
+	}
+}
+
+const goodEvent = `data: {"choices":[{"token_ids":[7],"logprobs":{"content":[{"bytes":[216,167]}]}}],"offset":3,"prompt_token_ids":[1,2]}` + "\n\n"
+
+func TestStream(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		pieces, err := read(": comment\n\n" + goodEvent + "data: [DONE]\n\n")
+		require.ErrorIs(t, err, io.EOF)
+		require.Len(t, pieces, 1)
+		require.Equal(t, "ا", string(pieces[0].Tokens[0].Text))
+		require.Equal(t, 3, pieces[0].Offset)
+	})
+	t.Run("cut off", func(t *testing.T) {
+		_, err := read(goodEvent)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+	t.Run("with an error", func(t *testing.T) {
+		_, err := read(`data: {"error":{"message":"out of memory"}}` + "\n\n")
+		require.ErrorContains(t, err, "out of memory")
+	})
+}
+
+func TestRequestSampling(t *testing.T) {
+	body, err := Request{Model: "v1", MaxTokens: 5, Sampling: json.RawMessage(`{"seed":3,"max_tokens":9}`)}.encode()
+	require.NoError(t, err)
+	var got map[string]any
+	require.NoError(t, json.Unmarshal(body, &got))
+	require.EqualValues(t, 3, got["seed"])
+	require.EqualValues(t, 5, got["max_tokens"], "a field of the request goes before one of the caller's")
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add(goodEvent)
+	f.Add("data: {}\n\ndata: [DONE]\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := read(text)
+		require.Error(t, err, "a stream always ends with an error, io.EOF if it was whole")
+	})
+}
--- a/internal/rwonce/bucket.go
+++ b/internal/rwonce/bucket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -213,6 +214,8 @@
 		if err := b.write(ctx, next); err != nil {
 			return err
 		}
+	} else if err := b.confirm(ctx, replies); err != nil {
+		return err
 	}
 	for i, op := range operations {
 		op.done <- replies[i]
@@ -221,6 +224,26 @@
 	return nil
 }
 
+// confirm sees to it that no call is said to be unknown whose outcome another
+// instance has recorded since the segment was read. A write that succeeds shows
+// as much by itself.
+func (b *bucket) confirm(ctx context.Context, replies []reply) error {
+	unknown := slices.ContainsFunc(replies, func(r reply) bool { return rwerror.Is(r.err, rwerror.KindUnknown) })
+	if !unknown {
+		return nil
+	}
+	now, err := b.store.Get(ctx, rwobject.KindRecords, b.object.Metadata.Name)
+	if err != nil {
+		return err
+	}
+	if now.Metadata.ResourceVersion != b.object.Metadata.ResourceVersion {
+		return errStale
+	}
+	return nil
+}
+
+var errStale = rwerror.New(rwerror.KindConflict, "read the records anew", "another instance has written the records")
+
 // write replaces the last segment if it is still as it was read.
 func (b *bucket) write(ctx context.Context, next segment) error {
 	made, err := rwplatform.Apply(ctx, b.store, b.object.WithSpec(next))
--- /dev/null
+++ b/internal/rwwire/fault_test.go
@@ -0,0 +1,28 @@
+package rwwire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ragwortwall/internal/rwtoken"
+)
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(PackTokens([]rwtoken.Token{{ID: 1, Text: []byte("a")}, {ID: 4200, Text: []byte{0xd8}}}))
+	f.Add([]byte{})
+	f.Add([]byte{1, 200})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		tokens, err := UnpackTokens(b)
+		if err != nil {
+			return
+		}
+		again, err := UnpackTokens(PackTokens(tokens))
+		require.NoError(t, err)
+		require.Len(t, again, len(tokens))
+		for i := range tokens {
+			require.Equal(t, tokens[i].ID, again[i].ID)
+			require.Equal(t, string(tokens[i].Text), string(again[i].Text))
+		}
+	})
+}
