An answer that was admitted is not refused any more

Ruled out: a full fleet (slots were free behind the suspects). A generation that a server had a slot for searches as one that is being resumed.

--- a/internal/rwcommand/demo.go
+++ b/internal/rwcommand/demo.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -64,7 +65,8 @@
 	}
 	fmt.Fprintf(o.out, "killed engine %s in the middle of its answers\n%s", killed, report)
 	if c.Keep {
-		fmt.Fprintf(o.out, "operators: %s with the key %s; interrupt to end\n", fleet.Operators("i1"), rwlab.OperatorKey)
+		fmt.Fprintf(o.out, "callers: %s\noperators: %s with the key %s\nengine e1: %s\ninterrupt to end\n",
+			strings.Join(fleet.Targets(), ","), fleet.Operators("i1"), rwlab.OperatorKey, fleet.URL("e1"))
 		<-ctx.Done()
 	}
 	if !report.Right() || report.Whole != demoRequests {
@@ -83,7 +85,7 @@
 	if err != nil {
 		return nil, nil, errors.Trace(err)
 	}
-	fleet := &rwlab.Fleet{Bin: filepath.Dir(self), Logs: logs, Instances: 6, Zones: 3, Engines: 6, Services: 1, Capacity: 8}
+	fleet := &rwlab.Fleet{Bin: filepath.Dir(self), Logs: logs, Instances: 6, Zones: 3, Engines: 6, Services: 1, Capacity: 8, Versions: []string{"v1", "v2"}}
 	return fleet, func() {
 		fleet.Stop()
 		_ = os.RemoveAll(logs)
--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -28,7 +28,7 @@
 	tree       rwtree.Tree
 	route      rwtree.NamedRoute
 	avoid      rwset.Set[string] // servers that failed the generation
-	resume     bool              // a caller has part of the answer
+	resume     bool              // the work has begun: a caller waits for it to go on
 }
 
 // place finds a server with a slot for the next attempt.
@@ -41,8 +41,10 @@
 	if a, ok := p.adopted(g, tree); ok {
 		return a, nil
 	}
-	count, _, _ := g.Journal.State()
-	s := &search{primary: p, generation: g, tree: tree, route: route, avoid: avoid, resume: count > 0}
+	// Once a server had a slot for it the caller has the answer's head, and maybe
+	// a part of it: a refusal would come too late.
+	begun := g.Lineage().Attempt > 0
+	s := &search{primary: p, generation: g, tree: tree, route: route, avoid: avoid, resume: begun}
 	return s.run(ctx)
 }
 
--- a/internal/rwserve/answer_test.go
+++ b/internal/rwserve/answer_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestAnswerLostBeforeFirstToken kills engines while they still read the prompt,
+// with the others nearly full: the callers have the head of their answers, so a refusal
+// would come too late.
+func TestAnswerLostBeforeFirstToken(t *testing.T) {
+	withFleet(t, small, func(f *fleet) {
+		a := func(n int) ask { return ask{prompt: prompt(n), tokens: 250} }
+		var answers []<-chan got
+		for n := range 12 { // as many as the three engines left can carry
+			answers = append(answers, f.begin(n%4, a(n)))
+		}
+		time.Sleep(5 * time.Millisecond)
+		f.engines[f.busiest()].Kill()
+		for n, done := range answers {
+			requireWhole(t, a(n), <-done)
+		}
+	})
+}
+
 // TestAnswerPrimaryReturns thaws a frozen primary while the new one goes on: its
 // late output must reach nobody.
 func TestAnswerPrimaryReturns(t *testing.T) {
