Plots of a load, rows for watchers, deciders and holders of records, race detector

Ruled out: a lock around the poll; the address never changes for a pool, so the write went. Before: 1 data race in the product, 2 in a test.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 unit:
 	$(GO) vet ./...
 	$(GO) test ./...
+	$(GO) test -race ./internal/rwonce ./internal/rwslot ./internal/rwserve
 
 prove: spin
 	scripts/prove.sh
--- a/internal/rwcapacity/rows.go
+++ b/internal/rwcapacity/rows.go
@@ -59,6 +59,36 @@
 	}
 }
 
+// subtreeBytes is what one organisation adds to its team's subtree.
+const subtreeBytes = 120
+
+// Roles is what single instances carry beside the others.
+func Roles(m Slopes, s Size) []Row {
+	subtree := subtreeBytes * s.Organisations / s.Teams
+	zone := s.Instances / s.Zones
+	perSecond := s.Changes / day
+	return []Row{
+		{"watcher", "pushes", perSecond * zone, "messages/s", 0, "one message a change and instance of the zone", "arithmetic"},
+		{"watcher", "traffic of pushes", perSecond * zone * subtree, "bytes/s", Budget.Bytes, "the changed subtree alone", "arithmetic"},
+		{"accepting instance", "pushes of one change", s.Instances - 1, "messages", 0, "one message an instance, at once", "arithmetic"},
+		{"decider", "store calls", 2, "calls/s", 0, "one lease read and written each second while a move runs", "arithmetic"},
+		{"decider", "evidence in memory", s.Instances * evidenceBytes, "bytes", Budget.Memory, "two versions an instance and move", "arithmetic"},
+		{"holder of records", "keys in memory", keysHeld(s) * keyBytes / buckets, "bytes", Budget.Memory, "a key's place, for as long as its record is kept", "arithmetic"},
+		{"holder of records", "commits", m.OrderCalls * s.Orders / buckets, "calls/s", 0, "groups of 125 ms, one bucket", "records"},
+	}
+}
+
+const (
+	evidenceBytes = 2 * 450 // of one instance and move
+	keyBytes      = 100     // of one key in memory
+	buckets       = 4       // of records
+	bucketKeys    = 500_000 // kept at most, of one bucket
+)
+
+// keysHeld is how many keys of orders are known at once: those of a day, or as
+// many as fit.
+func keysHeld(s Size) float64 { return math.Min(s.Orders*day, buckets*bucketKeys) }
+
 // Loss is what one kind of loss moves.
 type Loss struct {
 	What      string
--- a/internal/rwcapacity/tables.go
+++ b/internal/rwcapacity/tables.go
@@ -17,7 +17,7 @@
 		Size
 	}{{"Today: 6 instances, 40 servers", Today}, {"Two years: 390 instances, 760 servers", TwoYears}} {
 		fmt.Fprintf(&b, "\n### %s\n\n| role | what | figure | unit | budget | verdict | mechanism | from |\n|---|---|---|---|---|---|---|---|\n", size.name)
-		for _, rows := range [][]Row{Control(m, size.Size), Work(m, size.Size), Store(m, size.Size)} {
+		for _, rows := range [][]Row{Control(m, size.Size), Roles(m, size.Size), Work(m, size.Size), Store(m, size.Size)} {
 			for _, r := range rows {
 				fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", r.Role, r.What, number(r.Value), r.Unit, budget(r), verdict(r), r.Mechanism, r.Basis)
 			}
--- a/internal/rwcommand/load.go
+++ b/internal/rwcommand/load.go
@@ -31,6 +31,7 @@
 	Break    time.Duration `long:"break" default:"500ms" description:"a longer gap counts as an interruption"`
 	Orders   float64       `long:"orders" description:"share of requests that are orders"`
 	Path     string        `long:"path" default:"/orders/new" description:"path of orders"`
+	Plot     string        `long:"plot" description:"draw the latencies into this file, .png or .svg"`
 	JSON     bool          `long:"json" description:"print the report as JSON"`
 	Quiet    bool          `long:"quiet" description:"show no progress"`
 }
@@ -69,6 +70,11 @@
 		}
 	}
 	report := l.Run(ctx)
+	if c.Plot != "" {
+		if err := l.Plot(c.Plot); err != nil {
+			return err
+		}
+	}
 	if c.JSON {
 		if err := json.NewEncoder(o.out).Encode(report); err != nil {
 			return errors.Trace(err)
--- a/internal/rwslot/owner.go
+++ b/internal/rwslot/owner.go
@@ -53,7 +53,7 @@
 type ownedPool struct {
 	*Pool
 
-	server      rwtree.NamedServer
+	server      rwtree.NamedServer // as it was when the pool was made; its address does not change
 	stop        context.CancelFunc
 	poke        chan struct{}
 	incarnation string
@@ -126,7 +126,6 @@
 
 func (o *Owner) ownLocked(ctx context.Context, name string, s rwtree.NamedServer, pace time.Duration) {
 	if p, ok := o.pools[name]; ok {
-		p.server = s
 		p.Resize(s.Capacity, s.Leaving)
 		return
 	}
--- a/internal/rwslot/pool_test.go
+++ b/internal/rwslot/pool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -214,8 +215,8 @@
 				var mu sync.Mutex
 				held, peak := 0, 0
 				leases := map[string]bool{}
-				fence := true
-				pool := NewPool("s", capacity, 0, func() bool { return fence })
+				var fenced atomic.Bool
+				pool := NewPool("s", capacity, 0, func() bool { return !fenced.Load() })
 				time.Sleep(WarmUp)
 				run := func(p *Pool, lease string) {
 					if p.Acquire(context.Background(), Ask{Lease: lease, Weight: 1, Tokens: 1, Patience: time.Second}) != nil {
@@ -246,7 +247,7 @@
 					if n == 150 {
 						// The old owner is cut off: it is fenced 1.2 s later, as soon
 						// as the new one may appear 1.8 s later.
-						time.AfterFunc(1200*time.Millisecond, func() { fence = false })
+						time.AfterFunc(1200*time.Millisecond, func() { fenced.Store(true) })
 						time.AfterFunc(1800*time.Millisecond, func() {
 							next := NewPool("s", capacity, 0, always)
 							go func() {
@@ -255,10 +256,14 @@
 									declare(next)
 								}
 							}()
+							mu.Lock()
+							defer mu.Unlock()
 							owners = append(owners, next)
 						})
 					}
+					mu.Lock()
 					p := owners[random.IntN(len(owners))]
+					mu.Unlock()
 					go run(p, fmt.Sprint(n))
 				}
 				time.Sleep(10 * time.Second)
