Look at the quarantine before each search for a slot

Ruled out: the handing on of settings (the trace shows one primary that asks again 0.1 s after the quarantine).

--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -57,7 +57,7 @@
 		if err == nil || ctx.Err() != nil {
 			return a, err
 		}
-		if !s.resume || time.Now().After(until) {
+		if !s.resume || time.Now().After(until) || rwerror.Is(err, rwerror.KindQuarantined) {
 			return nil, err
 		}
 		s.avoid.Clear()
@@ -119,6 +119,9 @@
 // where the leading copy runs.
 func (s *search) once(ctx context.Context, wait time.Duration) (*attempt, error) {
 	p, g := s.primary, s.generation
+	if e := p.Book.Refusal(rwpoison.Fingerprint(g.Spec.Fingerprint)); e != nil {
+		return nil, e // a copy of the request has shown meanwhile what it does
+	}
 	version := p.version(g, s.route)
 	candidates := p.candidates(s.tree, s.route, version, s.avoid)
 	only, changed := p.trials.enter(g)
@@ -146,9 +149,6 @@
 	if !await(ctx.Done(), changed, wait) {
 		return nil, busy(s.route)
 	}
-	if e := s.primary.Book.Refusal(rwpoison.Fingerprint(s.generation.Spec.Fingerprint)); e != nil {
-		return nil, e
-	}
 	return s.once(ctx, wait-time.Since(started))
 }
 
