--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -66,7 +66,8 @@
 	decider     *rwmove.Decider
 	started     time.Time
 	fresh       fresh
-	route       sync.Mutex // held while it is decided where copies of a request meet
+	life        context.Context //nolint:containedctx // ends with the process
+	route       sync.Mutex      // held while it is decided where copies of a request meet
 }
 
 // Init builds the parts. Run calls it; tests may call it before.
@@ -157,6 +158,7 @@
 	}
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	i.life = life
 	var loops sync.WaitGroup
 	for _, loop := range i.loops() {
 		loops.Go(func() { loop(life) })
--- a/internal/rwserve/quarantine.go
+++ b/internal/rwserve/quarantine.go
@@ -33,13 +33,15 @@
 	o := rwobject.New(rwobject.KindQuarantine, fmt.Sprintf("%016x", uint64(s.Fingerprint)),
 		quarantined{Fingerprint: uint64(s.Fingerprint), Servers: s.Servers})
 	for range quarantineTries {
-		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+		ctx, cancel := context.WithTimeout(i.life, platformTimeout)
 		_, err := rwplatform.Apply(ctx, i.platform, o)
 		cancel()
 		if err == nil || rwerror.Is(err, rwerror.KindConflict) {
 			return
 		}
-		time.Sleep(quarantinePause)
+		if !rwtime.Sleep(i.life, quarantinePause) {
+			return
+		}
 	}
 	i.Log.Info("quarantine not written to the platform", "fingerprint", uint64(s.Fingerprint))
 }
