A move's share waits while its failures lean towards bad

Cause: seen by hand in the demo: with 2 of 2 runs failed the share went on growing from 9% to 16% before the third failure took the move back. Ruled out: taking back on fewer failures (false alarms). Before: TestPlanWaits fails (the share grows).

--- a/internal/rwmove/plan.go
+++ b/internal/rwmove/plan.go
@@ -82,13 +82,17 @@
 	if p.After.Runs < canaryRuns && done < canaryWait {
 		share = Canary
 	}
-	if share < m.Share+smallChange {
+	if share < m.Share+smallChange || p.leansBad() {
 		return m, false
 	}
 	m.Reason = p.evidence("the share grows")
 	return m.WithShare(share), true
 }
 
+// leansBad reports whether the failures seen so far speak more for a bad version
+// than for a good one, though not enough to take it back: the share waits.
+func (p Plan) leansBad() bool { return failureOdds(p.Before, p.After) > 0 }
+
 // curve is the share at a part of the ramp: slow at first, when little is known.
 func curve(done float64) float64 {
 	return min(1, max(Canary, done*done))
--- a/internal/rwmove/trial_test.go
+++ b/internal/rwmove/trial_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// TestPlanWaits: the share does not grow while the failures lean towards bad.
+func TestPlanWaits(t *testing.T) {
+	begun := time.Unix(0, 0)
+	p := Plan{
+		Move: rwtree.Move{Route: "t/r", From: "a", To: "b", Begun: begun, Deadline: begun.Add(time.Minute), Phase: rwtree.PhaseRamping, Share: Canary},
+		Now:  begun.Add(20 * time.Second), Before: Evidence{Runs: 100}, After: Evidence{Runs: 2, Failed: 2},
+	}
+	next, changed := p.Next()
+	require.False(t, changed, "%+v", next)
+	p.After = Evidence{Runs: 30}
+	next, changed = p.Next()
+	require.True(t, changed)
+	require.Greater(t, next.Share, Canary)
+}
+
 // TestTrialBothBad: what the old version does as well is not held against the
 // new one.
 func TestTrialBothBad(t *testing.T) {
