Restore two checks that had been eased on the way

The first failure was the fake network's (a dead host that went on talking), the second had no trace behind it. Ruled out: that the easing is still needed. Before: 4 s, three answers allowed. Still narrower than first written, and said here: the kills of pairs run 24 answers on 4 instances and 6 engines (first 72 on 6 and 12: too slow), and the 1% of TestTrialBad counts the traffic of the move's whole time, not that until it ended. Conclusion: restored.

--- a/internal/rwserve/answer_test.go
+++ b/internal/rwserve/answer_test.go
@@ -273,7 +273,7 @@
 			for _, p := range poisons {
 				// A copy that finds no slot beside the suspect is refused instead.
 				g := <-p
-				require.Contains(t, []string{"quarantined", "overloaded", "unavailable"}, g.code, g.message)
+				require.Contains(t, []string{"quarantined", "overloaded"}, g.code, g.message)
 			}
 		}
 		for n, done := range innocents {
@@ -334,7 +334,7 @@
 			time.Sleep(1500 * time.Millisecond)
 			f.restartEngine(n)
 			f.restart(n)
-			time.Sleep(2500 * time.Millisecond)
+			time.Sleep(time.Second)
 		}
 		for n, done := range answers {
 			g := <-done
