Thin whole path on the users' platform: entry, forwarder, feed, adapter

Cause: nothing of the product spoke the users' protocol. Built: platform/ (translation only), rwroute, rwbackend, rwpick, rwlink, rwrelay, rwforward, rwfeed, rwentry and the program rwentry, apart from ragwortwall so that it links only what it uses.

--- /dev/null
+++ b/cmd/rwentry/main.go
@@ -0,0 +1,46 @@
+// Command rwentry runs an entry instance on the users' platform. It is apart from
+// ragwortwall, the program with the product's own interface, so that it links
+// only what it uses.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"ragwortwall/internal/rwentry"
+	"ragwortwall/internal/rwlog"
+	"ragwortwall/platform"
+)
+
+// logTime is how long the last lines may take to be written.
+const logTime = 200 * time.Millisecond
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	lines := rwlog.NewWriter(os.Stdout)
+	defer lines.Close(logTime)
+	log := rwlog.New(lines)
+	settings, err := platform.ReadSettings(os.Getenv(platform.PathVariable))
+	if err != nil {
+		log.Error(err, "settings can't be used")
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	store := platform.NewStore(settings.Store)
+	instance := &rwentry.Instance{
+		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Log: log,
+		Stores: rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store)},
+	}
+	if err := instance.Run(ctx); err != nil {
+		log.Error(err, "ended")
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/rwbackend/evidence.go
@@ -0,0 +1,190 @@
+package rwbackend
+
+import (
+	"time"
+)
+
+// Began notes that a plain request is on its way to a server. The returned
+// function is called once, when the server no longer holds it.
+func (d *Directory) Began(id string) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	if !ok {
+		return func() {}
+	}
+	s.plain++
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		s.plain--
+	}
+}
+
+// Answered notes an answer, the time that it took, and the load told with it.
+func (d *Directory) Answered(id string, failed bool, took time.Duration, load Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	if !ok {
+		return
+	}
+	s.strikes = 0
+	s.suspect = time.Time{}
+	s.observeLocked(failed)
+	if took > 0 {
+		if s.latency == 0 {
+			s.latency = took.Seconds()
+		}
+		s.latency += averageWeight * (took.Seconds() - s.latency)
+	}
+	if load.Slots > 0 {
+		s.load, s.loadAt = load, time.Now()
+	}
+}
+
+func (s *Server) observeLocked(failed bool) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	s.failures += averageWeight * (x - s.failures)
+}
+
+// Lost notes that a server could not be reached, was silent or broke off. It is
+// avoided for a while, longer with each loss in a row.
+func (d *Directory) Lost(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	if !ok {
+		return
+	}
+	s.observeLocked(true)
+	now := time.Now()
+	if now.Before(s.suspect) {
+		return
+	}
+	s.strikes++
+	s.suspect = now.Add(min(suspectMost, suspectTime<<min(3, s.strikes-1)))
+}
+
+// Avoid keeps new work from a server for a time, as it said it is full.
+func (d *Directory) Avoid(id string, wait time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s, ok := d.servers[id]; ok && s.suspect.Before(time.Now().Add(wait)) {
+		s.suspect = time.Now().Add(wait)
+	}
+}
+
+// Suspect reports whether a server is avoided now.
+func (d *Directory) Suspect(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	return !ok || time.Now().Before(s.suspect)
+}
+
+// Place takes in a run, the own or a peer's, as it is now.
+func (d *Directory) Place(r Run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	old, known := d.runs[r.ID]
+	if known {
+		r.placed = old.placed
+		if old.Ended {
+			return
+		}
+		d.unplaceLocked(old)
+	}
+	if !known || old.Server != r.Server {
+		r.placed = now
+	}
+	if r.Ended {
+		r.ended = now
+	}
+	run := &r
+	d.runs[r.ID] = run
+	if r.Part != "" {
+		d.parts[r.Part] = run
+	}
+	if s, ok := d.servers[r.Server]; ok && !r.Ended {
+		s.loads[r.ID] = run
+	}
+	if s, ok := d.servers[r.Copy]; ok && r.Copy != "" && (!r.Ended || r.Lost) {
+		s.copies[r.ID] = run
+	}
+	d.forgetLocked(now)
+}
+
+func (d *Directory) unplaceLocked(r *Run) {
+	if s, ok := d.servers[r.Server]; ok {
+		delete(s.loads, r.ID)
+	}
+	if s, ok := d.servers[r.Copy]; ok {
+		delete(s.copies, r.ID)
+	}
+}
+
+// forgetLocked drops runs of which nothing can be left, a few at each call: maps
+// are walked in random order.
+func (d *Directory) forgetLocked(now time.Time) {
+	const looks = 4
+	left := looks
+	for id, r := range d.runs {
+		if now.Sub(r.placed) > runLife || r.Ended && now.Sub(r.ended) > runLife/3 {
+			d.unplaceLocked(r)
+			delete(d.runs, id)
+			if d.parts[r.Part] == r {
+				delete(d.parts, r.Part)
+			}
+		}
+		if left--; left == 0 {
+			return
+		}
+	}
+}
+
+// Latest returns the newest run of a prompt's last part.
+func (d *Directory) Latest(part string) (Run, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.parts[part]
+	if !ok || part == "" {
+		return Run{}, false
+	}
+	return *r, true
+}
+
+// Forget ends all runs of an instance that is gone: its copies stay.
+func (d *Directory) Forget(owner string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, r := range d.runs {
+		if r.Owner == owner && !r.Ended {
+			r.Ended, r.Lost, r.ended = true, true, now
+		}
+	}
+}
+
+// MeasureRead takes in how long a server that had nothing else to read took for
+// a prompt. The average moves slowly, so that one slow server weighs little.
+func (d *Directory) MeasureRead(tokens int, took time.Duration) {
+	if tokens < 500 || took <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rate := min(4*d.readRate, max(d.readRate/4, float64(tokens)/took.Seconds()))
+	d.readRate += averageWeight / 2 * (rate - d.readRate)
+}
+
+// ReadRate is the prompt tokens that a server reads a second.
+func (d *Directory) ReadRate() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.readRate
+}
--- /dev/null
+++ b/internal/rwentry/instance.go
@@ -0,0 +1,209 @@
+package rwentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwfeed"
+	"ragwortwall/internal/rwforward"
+	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwretry"
+	"ragwortwall/internal/rwroute"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+)
+
+// Settings of an instance.
+const (
+	// stateWait is how long a watch of the desired state waits: what it confirms
+	// is older by as much, and must stay well under the bound for keys.
+	stateWait = 1200 * time.Millisecond
+	// serversWait is how long a watch of the servers waits.
+	serversWait = 2500 * time.Millisecond
+	// gather is the pause between two watches in which changes of the servers
+	// gather: a small part of the time in which a leaving server must be known.
+	gather = 150 * time.Millisecond
+	// keyMargin is the part of the bound for keys after which they are refused.
+	keyMargin = 0.95
+	// collectPercent trades processor time for memory, which is priced.
+	collectPercent = 50
+	// memoryPart is the part of the memory bound that the heap may take.
+	memoryPart = 0.7
+)
+
+// Stores are the kinds of object that an instance follows.
+type Stores struct {
+	States  rwfeed.Source[*rwroute.Table]
+	Servers rwfeed.Source[rwbackend.Entry]
+}
+
+// Instance is one entry instance. Set the exported fields before Run.
+type Instance struct {
+	Settings  Settings
+	ReadyPath string // at which the balancer asks
+	Stores    Stores
+	Wire      rwforward.Wire
+	Log       logr.Logger
+
+	settings  *rwfeed.Settings
+	states    *rwfeed.Follower[*rwroute.Table]
+	servers   *rwfeed.Follower[rwbackend.Entry]
+	directory *rwbackend.Directory
+	forwarder *rwforward.Forwarder
+	pool      rwlink.Pool
+	probe     rwlink.Probe
+	counters  rwforward.Counters
+	leaving   atomic.Bool
+	idle      idleConns
+}
+
+// Run serves until ctx ends, and then until what runs has ended.
+func (i *Instance) Run(ctx context.Context) error {
+	i.boundMemory()
+	i.directory = rwbackend.NewDirectory(i.Settings.Name)
+	i.settings = &rwfeed.Settings{Log: i.Log}
+	i.states = &rwfeed.Follower[*rwroute.Table]{Kind: "state", Source: i.Stores.States, Wait: stateWait, Apply: i.settings.Apply, Log: i.Log}
+	list := &rwfeed.Servers{Directory: i.directory, Log: i.Log}
+	i.servers = &rwfeed.Follower[rwbackend.Entry]{Kind: "servers", Source: i.Stores.Servers, Wait: serversWait, Gather: gather, Apply: list.Apply, Log: i.Log}
+	list.Regained = i.servers.Regained
+	i.forwarder = &rwforward.Forwarder{
+		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire,
+		Budget: &rwretry.Budget{}, Notify: i.directory.Place, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer stop()
+	for _, run := range []func(context.Context){i.states.Run, i.servers.Run, list.Run, i.sweep} {
+		work.Go(func() { run(background) })
+	}
+	return i.serve(ctx)
+}
+
+func (i *Instance) boundMemory() {
+	debug.SetGCPercent(collectPercent)
+	if i.Settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(i.Settings.Memory)))
+	}
+}
+
+// state is the desired state in force.
+func (i *Instance) state() rwforward.State {
+	s := rwforward.State{Table: i.settings.Table(), Keys: time.Duration(keyMargin * float64(i.Settings.KeyBound))}
+	if i.Settings.KeyBound <= 0 {
+		s.Keys = 1<<63 - 1
+	}
+	age, known := i.states.Age()
+	if !known {
+		s.Table = nil
+	}
+	s.Age = age
+	return s
+}
+
+// ready reports whether callers are served as well here as elsewhere.
+func (i *Instance) ready() bool {
+	state := i.state()
+	_, listed := i.servers.Age()
+	return state.Table != nil && listed && state.Age <= state.Keys && !i.leaving.Load()
+}
+
+func (i *Instance) sweep(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		i.pool.Sweep()
+		if table := i.settings.Table(); table != nil && table.Limits.IdleTime > 0 {
+			i.idle.closeOver(table.Limits.IdleTime)
+		}
+	}
+}
+
+func (i *Instance) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+i.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !i.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Settings of the callers' connections.
+const (
+	headerTime = 10 * time.Second // for a request's head; over the users' limits
+	headerMost = 64 << 10         // bytes; over the users' limits
+)
+
+func (i *Instance) serve(ctx context.Context) error {
+	callers, err := net.Listen("tcp", i.Settings.Callers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	asks, err := net.Listen("tcp", i.Settings.Ready)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	base, cut := context.WithCancel(context.Background())
+	defer cut()
+	front := &http.Server{
+		Handler: i.forwarder, ReadHeaderTimeout: headerTime, MaxHeaderBytes: headerMost, ConnState: i.idle.note,
+		BaseContext: func(net.Listener) context.Context { return base },
+	}
+	ready := &http.Server{Handler: i.readyHandler(), ReadHeaderTimeout: headerTime}
+	failed := make(chan error, 2)
+	go func() { failed <- front.Serve(callers) }()
+	go func() { failed <- ready.Serve(asks) }()
+	i.Log.Info("started", "instance", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
+	select {
+	case err := <-failed:
+		return errors.Trace(err)
+	case <-ctx.Done():
+	}
+	return i.leave(front, ready, cut)
+}
+
+// Settings of leaving.
+const (
+	// leaveOpen is how long new connections are still taken: the balancer asks
+	// each second and drops an instance after two misses.
+	leaveOpen = 2600 * time.Millisecond
+	// leaveLast is kept of the grace for what is cut at last to be told.
+	leaveLast  = 600 * time.Millisecond
+	graceLeast = 2 * time.Second
+)
+
+// leave stops the instance: it says that it is not ready, takes what still
+// comes until the balancer has noticed, and ends when all requests are answered.
+// Streams that outlast the grace are cut so that their callers go on elsewhere.
+func (i *Instance) leave(front, ready *http.Server, cut func()) error {
+	i.leaving.Store(true)
+	i.Log.Info("stopping", "instance", i.Settings.Name)
+	began := time.Now()
+	grace := max(graceLeast, i.Settings.Grace) - leaveLast
+	time.Sleep(min(leaveOpen, grace/2))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
+	defer cancel()
+	err := front.Shutdown(ctx)
+	if err != nil {
+		i.Log.Info("requests cut", "cause", err.Error())
+		cut()
+		_ = front.Close()
+	}
+	_ = ready.Close()
+	i.Log.Info("stopped", "instance", i.Settings.Name, "took", time.Since(began).Seconds())
+	return nil
+}
--- /dev/null
+++ b/internal/rwforward/stream.go
@@ -0,0 +1,387 @@
+package rwforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwpick"
+	"ragwortwall/internal/rwrelay"
+	"ragwortwall/internal/rwroute"
+
+	"github.com/juju/errors"
+)
+
+// stream is one stream of events on its way to a caller, over as many servers as
+// it takes.
+type stream struct {
+	*call
+	order   *rwrelay.Order
+	run     rwbackend.Run // as told to peers
+	begun   bool          // the caller has the head of the answer
+	events  int
+	last    error
+	resumes int
+}
+
+// The causes for which a server is given up.
+var (
+	errHung   = errors.New("the server is there, but sends nothing")
+	errGone   = errors.New("the server can't be reached")
+	errBroken = errors.New("events are missing")
+	errLeft   = errors.New("the caller left")
+)
+
+// stream answers a request with a stream of events. When a server is lost the
+// stream goes on elsewhere: where its memory is, if it is anywhere.
+func (c *call) stream() error {
+	c.f.Budget.First(c.service.Name, repeatShare)
+	s := &stream{call: c, order: rwrelay.NewOrder(c.ask.Cursor, c.ask.Resumed)}
+	defer s.ended()
+	if c.ask.Resumed {
+		s.adopt()
+	}
+	for {
+		next, err := s.next()
+		if err != nil {
+			return s.giveUp(err)
+		}
+		done, err := s.attempt(next)
+		if done {
+			return nil
+		}
+		if c.r.Context().Err() != nil {
+			return s.callerLeft()
+		}
+		if err != nil {
+			s.last = err
+		}
+		if c.left() <= 0 {
+			return s.giveUp(rwerror.New(rwerror.KindTimeout, "send it again with the id of the last event", "the time for the stream is over").WithRan(rwerror.RanUnknown))
+		}
+		if s.begun && !c.route.Resumable {
+			return s.giveUp(s.last)
+		}
+	}
+}
+
+// next is the next server to try.
+type next struct {
+	server rwbackend.View
+	place  rwpick.Placement
+	from   string // address of the server that holds the run's memory
+	run    string
+	read   int // prompt tokens that are read first
+}
+
+// adopt takes over the memory of a stream whose caller came back with a cursor.
+func (s *stream) adopt() {
+	run, ok := s.f.Directory.Latest(s.ask.Part)
+	if !ok || run.ID == s.ask.ID {
+		return
+	}
+	s.run = run
+	s.f.Log.Info("stream comes back", "request", s.ask.ID, "run", run.ID, "server", run.Server, "copy", run.Copy, "owner", run.Owner, "cursor", s.ask.Cursor)
+}
+
+// next chooses where the stream goes on: at its copy if there is one, else
+// where the prompt is read soonest.
+func (s *stream) next() (next, error) {
+	if s.left() <= 0 {
+		return next{}, rwerror.New(rwerror.KindTimeout, "send it again with more time", "the time for the stream is over")
+	}
+	if s.sent >= max(1, s.route.Attempts) {
+		return next{}, s.exhausted()
+	}
+	if s.sent > 0 {
+		// A stream that goes on is worth more than a repeat of a short request:
+		// it is charged, and not held back.
+		s.f.Budget.Spend(s.service.Name)
+	}
+	servers := s.f.Directory.Service(s.service.Name)
+	engine := rwpick.EngineSize{Slots: s.service.Engine.Slots, Memory: s.service.Engine.Memory}
+	tried := func(id string) bool { return s.tried[id] }
+	need := rwpick.Need{Prompt: s.ask.Prompt, Output: s.ask.Output, Read: s.ask.Prompt}
+	if n, ok := s.atCopy(servers, engine, need, tried); ok {
+		return n, nil
+	}
+	place, ok := rwpick.Stream(servers, engine, need, tried)
+	if !ok {
+		if s.last != nil {
+			return next{}, s.exhausted()
+		}
+		return next{}, rwerror.New(rwerror.KindOverloaded, "come back after the time in Retry-After",
+			"none of %d model servers has memory for %d tokens", len(servers), need.Prompt+need.Output).WithRetryAfter(retryLater / 2)
+	}
+	return next{server: place.Server, place: place, read: need.Read}, nil
+}
+
+// atCopy is the server that holds the stream's copy, if it may be used.
+func (s *stream) atCopy(servers []rwbackend.View, engine rwpick.EngineSize, need rwpick.Need, tried func(string) bool) (next, bool) {
+	id, run := s.run.Copy, s.run.ID
+	if id == "" || s.tried[id] || !s.service.Engine.Copies {
+		return next{}, false
+	}
+	for _, v := range servers {
+		if v.ID != id || v.Suspect {
+			continue
+		}
+		n := next{server: v, from: v.Address, run: run}
+		n.place.Server = v
+		n.place.Copy, n.place.Copied = rwpick.Copy(servers, engine, need, v, tried)
+		return n, true
+	}
+	return next{}, false
+}
+
+func (s *stream) exhausted() error {
+	if s.last != nil {
+		return s.last
+	}
+	return rwerror.New(rwerror.KindFailed, "send it again", "no backend server finished the stream").WithRan(rwerror.RanUnknown)
+}
+
+// attempt runs the stream at one server until it ends there. It reports whether
+// the caller has its whole answer, or one that is final.
+func (s *stream) attempt(n next) (bool, error) {
+	s.tried[n.server.ID] = true
+	if err := s.confirmed(); err != nil && !s.begun {
+		s.sent = s.route.Attempts // final: nothing else is tried
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(s.r.Context(), s.left())
+	defer cancel()
+	conn, _, err := s.f.Pool.Get(ctx, n.server.Address, false, dialTime)
+	if err != nil {
+		s.f.Directory.Lost(n.server.ID)
+		s.note("not reached", n.server.ID, err)
+		return false, unreached(n.server.ID, err)
+	}
+	stop := context.AfterFunc(ctx, conn.End)
+	defer stop()
+	s.sent++
+	s.f.Count.sent(rwroute.KindStream)
+	s.placed(n)
+	o := s.call.order(n.server.ID)
+	o.Cursor, o.Resumed = s.order.Last()
+	o.From, o.Run = n.from, n.run
+	if n.place.Copied && s.service.Engine.Copies {
+		o.Copy = n.place.Copy.Address
+	}
+	done, err := s.relay(conn, n, o)
+	if done && err == nil && stop() {
+		s.f.Pool.Put(conn)
+		return true, nil
+	}
+	conn.Close()
+	return done, err
+}
+
+func unreached(server string, cause error) error {
+	return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After", "backend server %s could not be reached: %v", server, cause).WithRetryAfter(retrySoon)
+}
+
+// placed tells where the stream runs now.
+func (s *stream) placed(n next) {
+	old := s.run
+	s.run = rwbackend.Run{
+		ID: s.ask.ID, Owner: s.f.Directory.Self, Server: n.server.ID, Part: s.ask.Part,
+		Prompt: s.ask.Prompt, Output: s.ask.Output, Read: n.read,
+	}
+	if n.place.Copied {
+		s.run.Copy = n.place.Copy.ID
+	}
+	if old.ID != "" && old.ID != s.run.ID {
+		old.Ended, old.Lost = true, true
+		s.f.Notify(old)
+	}
+	s.f.Notify(s.run)
+	s.f.Log.Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
+		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "sent", s.sent)
+}
+
+// relay hands on what one server sends.
+func (s *stream) relay(conn *rwlink.Conn, n next, o Order) (bool, error) {
+	began := time.Now()
+	expected := rwpick.FirstBy(n.server, rwpick.Need{Read: n.read}, s.f.Directory.ReadRate())
+	pace := rwrelay.NewPace(expected, s.route.Pause)
+	response, _, err := conn.Exchange(s.request(o), s.patience(pace, n.server.Address), s.owns)
+	if err != nil {
+		return false, s.broke(n, err)
+	}
+	defer response.Body.Close()
+	reply := s.f.Wire.Reply(response.StatusCode, response.Header)
+	if reply.NotRun {
+		s.f.Directory.Answered(n.server.ID, false, 0, rwbackend.Load{})
+		if n.from == "" {
+			s.f.Directory.Avoid(n.server.ID, avoidFull)
+		}
+		s.note("not run", n.server.ID, errors.Errorf("status %d", response.StatusCode))
+		s.notRun(n)
+		return false, full(n.server.ID)
+	}
+	if response.StatusCode >= 300 {
+		return s.failed(response, n, reply)
+	}
+	if !reply.Signature || response.Header.Get("Content-Encoding") != "" {
+		return false, s.broke(n, errUnsound)
+	}
+	s.head(response)
+	events := rwrelay.NewEvents(response.Body)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return true, s.finish(n, reply)
+		}
+		if err != nil {
+			return false, s.broke(n, err)
+		}
+		if !pace.Begun() {
+			s.began(n, time.Since(began))
+		}
+		pace.Event()
+		if err := s.pass(event); err != nil {
+			return false, s.broke(n, err)
+		}
+	}
+}
+
+// notRun looks again for a place after a refusal: a copy that is not there is
+// not asked for twice, but its server may still run the stream from the start.
+func (s *stream) notRun(n next) {
+	if n.from != "" {
+		delete(s.tried, n.server.ID)
+	}
+	s.run.Copy = ""
+	s.run.Ended = true
+	s.f.Notify(s.run)
+	s.run = rwbackend.Run{}
+}
+
+// patience judges the silence of a server. The error ends the attempt.
+func (s *stream) patience(pace *rwrelay.Pace, address string) rwlink.Patience {
+	return func(silent time.Duration) (time.Duration, error) {
+		step, wait := pace.Judge(silent)
+		switch step {
+		case rwrelay.StepHung:
+			return 0, errHung
+		case rwrelay.StepProbe:
+			if s.f.Probe.Ask(address, pace.ProbeSince(silent)) == rwlink.FindingLost {
+				return 0, errGone
+			}
+		}
+		return wait, nil
+	}
+}
+
+// broke notes that a server was lost in the middle of the stream.
+func (s *stream) broke(n next, cause error) error {
+	if s.r.Context().Err() != nil {
+		return errLeft
+	}
+	if s.left() > 0 {
+		s.f.Directory.Lost(n.server.ID)
+	}
+	s.f.Log.Info("stream broken off", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "cause", cause.Error(),
+		"events", s.events, "copy", s.run.Copy, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
+	return rwerror.New(rwerror.KindUnknown, "send it again with the id of the last event",
+		"backend server %s was lost: %v", n.server.ID, cause).WithRan(rwerror.RanUnknown)
+}
+
+// failed handles an answer that is no stream.
+func (s *stream) failed(response *http.Response, n next, reply Reply) (bool, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerMost))
+	if err != nil {
+		return false, s.broke(n, err)
+	}
+	s.f.Directory.Answered(n.server.ID, true, 0, reply.Load)
+	s.note("failed", n.server.ID, errors.Errorf("status %d", response.StatusCode))
+	again := response.StatusCode >= http.StatusInternalServerError && s.route.Resumable && s.sent < s.route.Attempts
+	if s.begun || again || !reply.Signature {
+		return false, rwerror.New(rwerror.KindFailed, "send it again", "backend server %s answered %d", n.server.ID, response.StatusCode).WithRan(rwerror.RanYes)
+	}
+	return true, s.deliver(answer{status: response.StatusCode, header: response.Header, body: body, reply: reply}, n.server.ID)
+}
+
+// head hands on the head of the first server's answer.
+func (s *stream) head(response *http.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	header := s.w.Header()
+	for name, values := range s.f.Wire.Answer(response.Header) {
+		header[name] = values
+	}
+	s.w.WriteHeader(response.StatusCode)
+}
+
+// began notes the first event of an attempt.
+func (s *stream) began(n next, took time.Duration) {
+	s.run.Begun = true
+	s.f.Notify(s.run)
+	if n.server.Backlog == 0 && n.from == "" && !s.ask.Resumed {
+		s.f.Directory.MeasureRead(n.read, took)
+	}
+}
+
+// pass hands on an event that the caller does not have.
+func (s *stream) pass(event rwrelay.Event) error {
+	switch s.order.Judge(event) {
+	case rwrelay.VerdictDrop:
+		return nil
+	case rwrelay.VerdictGap:
+		return errBroken
+	}
+	if _, err := s.w.Write(event.Raw); err != nil {
+		return errLeft
+	}
+	s.events++
+	if s.events == 1 {
+		s.f.Count.first(time.Since(s.call.began))
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errLeft
+	}
+	return nil
+}
+
+// finish notes that the stream has come to its end.
+func (s *stream) finish(n next, reply Reply) error {
+	s.f.Directory.Answered(n.server.ID, false, 0, reply.Load)
+	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
+	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
+	return nil
+}
+
+// ended tells peers that this instance no longer relays the stream.
+func (s *stream) ended() {
+	if s.run.ID == "" || s.run.ID != s.ask.ID {
+		return
+	}
+	s.run.Ended = true
+	s.f.Notify(s.run)
+}
+
+func (s *stream) callerLeft() error {
+	s.run.Lost = true
+	s.f.Count.add("left.stream")
+	s.f.Log.Info("caller left", "request", s.ask.ID, "server", s.run.Server, "events", s.events, "took", time.Since(s.call.began).Seconds())
+	panic(http.ErrAbortHandler)
+}
+
+// giveUp ends a stream that can't go on: with a final answer if the caller has
+// none yet, else by breaking off, so that it does not look complete.
+func (s *stream) giveUp(err error) error {
+	s.run.Lost = true
+	if !s.begun {
+		return err
+	}
+	s.f.Count.add("cut.stream")
+	s.f.Log.Info("stream cut", "request", s.ask.ID, "cause", err.Error(), "events", s.events, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
+	panic(http.ErrAbortHandler)
+}
