Instances tell each other of runs and lost servers

Cause: each instance placed streams by its own runs alone, and a caller that came back to another instance started over.

--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -33,11 +33,18 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	store := platform.NewStore(settings.Store)
 	instance := &rwentry.Instance{
 		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Log: log,
-		Stores: rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store)},
+		Stores: rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store)},
 	}
+	go func() {
+		for range reload {
+			instance.Reload(platform.ReadSettings(os.Getenv(platform.PathVariable)))
+		}
+	}()
 	if err := instance.Run(ctx); err != nil {
 		log.Error(err, "ended")
 		return 1
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -13,8 +13,10 @@
 	"ragwortwall/internal/rwfeed"
 	"ragwortwall/internal/rwforward"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwpeer"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
+	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -30,6 +32,9 @@
 	// gather is the pause between two watches in which changes of the servers
 	// gather: a small part of the time in which a leaving server must be known.
 	gather = 150 * time.Millisecond
+	// membersWait is how long a watch of the instances waits: they change rarely,
+	// and news of a change is of use, not needed.
+	membersWait = 25 * time.Second
 	// keyMargin is the part of the bound for keys after which they are refused.
 	keyMargin = 0.95
 	// collectPercent trades processor time for memory, which is priced.
@@ -42,6 +47,13 @@
 type Stores struct {
 	States  rwfeed.Source[*rwroute.Table]
 	Servers rwfeed.Source[rwbackend.Entry]
+	Members MemberStore
+}
+
+// MemberStore keeps the list of instances.
+type MemberStore interface {
+	rwfeed.Source[rwpeer.Member]
+	Put(ctx context.Context, name string, m rwpeer.Member) error
 }
 
 // Instance is one entry instance. Set the exported fields before Run.
@@ -60,6 +72,8 @@
 	pool      rwlink.Pool
 	probe     rwlink.Probe
 	counters  rwforward.Counters
+	members   rwpeer.Members
+	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
 	idle      idleConns
 }
@@ -73,21 +87,44 @@
 	list := &rwfeed.Servers{Directory: i.directory, Log: i.Log}
 	i.servers = &rwfeed.Follower[rwbackend.Entry]{Kind: "servers", Source: i.Stores.Servers, Wait: serversWait, Gather: gather, Apply: list.Apply, Log: i.Log}
 	list.Regained = i.servers.Regained
+	i.members.Self, i.members.Log = i.Settings.Name, i.Log
+	members := &rwfeed.Follower[rwpeer.Member]{Kind: "instances", Source: i.Stores.Members, Wait: membersWait, Gather: time.Second, Apply: i.members.Apply, Log: i.Log}
+	i.exchange.Self, i.exchange.Life, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.Notices
+	i.exchange.Members, i.exchange.Directory, i.exchange.Log = &i.members, i.directory, i.Log
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire,
-		Budget: &rwretry.Budget{}, Notify: i.directory.Place, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
+		Budget: &rwretry.Budget{}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
-	for _, run := range []func(context.Context){i.states.Run, i.servers.Run, list.Run, i.sweep} {
+	for _, run := range []func(context.Context){i.states.Run, i.servers.Run, list.Run, i.sweep, i.join, members.Run, i.exchange.Run, i.exchange.Hello} {
 		work.Go(func() { run(background) })
 	}
 	return i.serve(ctx)
 }
 
+// join lists this instance in the store.
+func (i *Instance) join(ctx context.Context) {
+	const again = time.Second // between tries while the store is away
+	member := rwpeer.Member{Name: i.Settings.Name, Zone: i.Settings.Zone, Instances: i.Settings.Instances, Notices: i.Settings.Notices}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, joinTime)
+		err := i.Stores.Members.Put(call, member.Name, member)
+		cancel()
+		if err == nil {
+			return
+		}
+		i.Log.Info("not listed yet", "cause", err.Error())
+		rwtime.Sleep(ctx, again)
+	}
+}
+
+// joinTime is how long the write of the own entry may take.
+const joinTime = 2 * time.Second
+
 func (i *Instance) boundMemory() {
 	debug.SetGCPercent(collectPercent)
 	if i.Settings.Memory > 0 {
--- a/internal/rwentry/settings.go
+++ b/internal/rwentry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"time"
 
 	"ragwortwall/internal/rwerror"
@@ -43,3 +44,13 @@
 func fault(name, text string) error {
 	return rwerror.New(rwerror.KindInvalid, "correct the settings file", "the setting %s: %s", name, text)
 }
+
+// Reload takes in the settings as they are in the file now. What a process is
+// bound to from its start stays until it is started again.
+func (i *Instance) Reload(s Settings, err error) {
+	if err != nil {
+		i.Log.Error(err, "settings can't be used; the last good ones stay")
+		return
+	}
+	i.Log.Info("settings read again", "name", s.Name, "store", s.Store, "same", reflect.DeepEqual(s, i.Settings))
+}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -50,6 +50,7 @@
 	Wire      Wire
 	Budget    *rwretry.Budget
 	Notify    func(rwbackend.Run) // tells peers of a run
+	Lost      func(server string) // tells peers of a server that was lost
 	Leaving   func() bool         // this instance is being stopped
 	Log       logr.Logger
 	Count     *Counters
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -285,6 +285,7 @@
 	}
 	if s.left() > 0 {
 		s.f.Directory.Lost(n.server.ID)
+		s.f.Lost(n.server.ID)
 	}
 	s.f.Log.Info("stream broken off", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "cause", cause.Error(),
 		"events", s.events, "copy", s.run.Copy, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
