--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -204,7 +204,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- front.Serve(callers) }()
 	go func() { failed <- ready.Serve(asks) }()
-	i.Log.Info("started", "instance", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
+	i.Log.Info("started", "notices", i.Settings.Notices, "instance", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
 	select {
 	case err := <-failed:
 		return errors.Trace(err)
