Copies are renewed on order when the server that held them is lost

Cause: a third of the streams that lost their server had lost the copy's server in an earlier loss, and read their prompt again; entries of ended servers stayed choices until they lapsed; kept connections to restarted servers were reset. Built: keeper (kv copies on order while the stream runs), a look at the neighbours when several servers of a zone are lost, one server an address, fresh connections for streams. Ruled out: load (no preemption was seen), silence (few false alarms).

--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -37,7 +37,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	store := platform.NewStore(settings.Store)
 	instance := &rwentry.Instance{
-		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Log: log,
+		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Engines: platform.NewEngines(), Log: log,
 		Stores: rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store)},
 	}
 	go func() {
--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -64,6 +64,13 @@
 	if known {
 		d.dropLocked(old)
 	}
+	// An address has one server: whoever was there before has ended.
+	for _, o := range d.services[e.Service] {
+		if o.Address == e.Address && o.Incarnation < e.Incarnation {
+			d.dropLocked(o)
+			break
+		}
+	}
 	s := &Server{Entry: e, loads: map[string]*Run{}, copies: map[string]*Run{}}
 	if e.Leaving {
 		s.leftAt = time.Now()
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -62,6 +62,7 @@
 	}
 	s.observeLocked(true)
 	now := time.Now()
+	s.lostAt = now
 	if now.Before(s.suspect) {
 		return
 	}
@@ -69,6 +70,52 @@
 	s.suspect = now.Add(min(suspectMost, suspectTime<<min(3, s.strikes-1)))
 }
 
+// Holds reports whether a server can still hold what was sent to it at a time:
+// it is listed in the same life and was not lost since.
+func (d *Directory) Holds(id string, incarnation int64, since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	return ok && s.Incarnation == incarnation && s.lostAt.Before(since)
+}
+
+// Alarmed returns the servers of a lost server's zone and service that were not
+// lost with it, when so many of them were lost at about the same time that the
+// others may be too.
+func (d *Directory) Alarmed(id string) []Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	if !ok {
+		return nil
+	}
+	lost, others := 0, []Entry(nil)
+	for _, o := range d.services[s.Service] {
+		switch {
+		case o.Zone != s.Zone:
+		case time.Since(o.lostAt) < alarmTime:
+			lost++
+		case time.Since(o.alarmedAt) > alarmTime && len(o.loads)+len(o.copies) > 0:
+			others = append(others, o.Entry)
+		}
+	}
+	if lost < alarmLosses {
+		return nil
+	}
+	for _, e := range others {
+		d.servers[e.ID].alarmedAt = time.Now()
+	}
+	return others
+}
+
+const (
+	// alarmLosses is how many servers of a zone must be lost within alarmTime for
+	// the others to be looked at: single servers are lost more often than zones.
+	alarmLosses = 2
+	// alarmTime is within which a zone's servers are found lost, one by one.
+	alarmTime = 500 * time.Millisecond
+)
+
 // Avoid keeps new work from a server for a time, as it said it is full.
 func (d *Directory) Avoid(id string, wait time.Duration) {
 	d.mu.Lock()
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -26,17 +26,19 @@
 // Directory.
 type Server struct {
 	Entry
-	plain    int // own plain requests that it holds
-	load     Load
-	loadAt   time.Time
-	failures float64 // moving average of failed answers, 0 to 1
-	latency  float64 // moving average of the time to an answer, in seconds
-	suspect  time.Time
-	strikes  int       // losses in a row
-	leftAt   time.Time // when it was first seen leaving or gone
-	gone     bool      // its entry is no longer listed
-	loads    map[string]*Run
-	copies   map[string]*Run
+	plain     int // own plain requests that it holds
+	load      Load
+	loadAt    time.Time
+	failures  float64 // moving average of failed answers, 0 to 1
+	latency   float64 // moving average of the time to an answer, in seconds
+	suspect   time.Time
+	strikes   int       // losses in a row
+	lostAt    time.Time // of the last loss
+	alarmedAt time.Time // when it was last looked at for the loss of others
+	leftAt    time.Time // when it was first seen leaving or gone
+	gone      bool      // its entry is no longer listed
+	loads     map[string]*Run
+	copies    map[string]*Run
 }
 
 // View is a copy of what is known of a server, for decisions.
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -62,6 +62,7 @@
 	ReadyPath string // at which the balancer asks
 	Stores    Stores
 	Wire      rwforward.Wire
+	Engines   rwforward.Engines
 	Log       logr.Logger
 
 	settings  *rwfeed.Settings
@@ -92,7 +93,7 @@
 	i.exchange.Self, i.exchange.Life, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.Notices
 	i.exchange.Members, i.exchange.Directory, i.exchange.Log = &i.members, i.directory, i.Log
 	i.forwarder = &rwforward.Forwarder{
-		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire,
+		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire, Engines: i.Engines,
 		Budget: &rwretry.Budget{}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
 	}
 	background, stop := context.WithCancel(context.Background())
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -48,6 +48,7 @@
 	Pool      *rwlink.Pool
 	Probe     *rwlink.Probe
 	Wire      Wire
+	Engines   Engines
 	Budget    *rwretry.Budget
 	Notify    func(rwbackend.Run) // tells peers of a run
 	Lost      func(server string) // tells peers of a server that was lost
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -20,6 +20,7 @@
 // it takes.
 type stream struct {
 	*call
+	keeper  keeper
 	order   *rwrelay.Order
 	run     rwbackend.Run // as told to peers
 	begun   bool          // the caller has the head of the answer
@@ -120,17 +121,22 @@
 	return next{server: place.Server, place: place, read: need.Read}, nil
 }
 
-// atCopy is the server that holds the stream's copy, if it may be used.
+// atCopy is the server that holds the stream's copy, if it may be used. There is
+// none before the prompt is read.
 func (s *stream) atCopy(servers []rwbackend.View, engine rwpick.EngineSize, need rwpick.Need, tried func(string) bool) (next, bool) {
 	id, run := s.run.Copy, s.run.ID
-	if id == "" || s.tried[id] || !s.service.Engine.Copies {
+	if id == "" || !s.run.Begun || s.tried[id] || !s.service.Engine.Copies {
 		return next{}, false
 	}
+	source, handle, moved := s.keeper.copied()
 	for _, v := range servers {
 		if v.ID != id || v.Suspect {
 			continue
 		}
 		n := next{server: v, from: v.Address, run: run}
+		if moved {
+			n.from, n.run = source, handle
+		}
 		n.place.Server = v
 		n.place.Copy, n.place.Copied = rwpick.Copy(servers, engine, need, v, tried)
 		return n, true
@@ -155,9 +161,10 @@
 	}
 	ctx, cancel := context.WithTimeout(s.r.Context(), s.left())
 	defer cancel()
-	conn, _, err := s.f.Pool.Get(ctx, n.server.Address, false, dialTime)
+	// A kept connection may have been dropped by a server that has started again.
+	conn, _, err := s.f.Pool.Get(ctx, n.server.Address, true, dialTime)
 	if err != nil {
-		s.f.Directory.Lost(n.server.ID)
+		s.lost(n.server)
 		s.note("not reached", n.server.ID, err)
 		return false, unreached(n.server.ID, err)
 	}
@@ -200,6 +207,7 @@
 		s.f.Notify(old)
 	}
 	s.f.Notify(s.run)
+	s.keeper.placed(s, n)
 	s.f.Log.Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
 		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "sent", s.sent)
 }
@@ -284,8 +292,7 @@
 		return errLeft
 	}
 	if s.left() > 0 {
-		s.f.Directory.Lost(n.server.ID)
-		s.f.Lost(n.server.ID)
+		s.lost(n.server)
 	}
 	s.f.Log.Info("stream broken off", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "cause", cause.Error(),
 		"events", s.events, "copy", s.run.Copy, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
@@ -338,6 +345,7 @@
 	case rwrelay.VerdictGap:
 		return errBroken
 	}
+	s.keeper.check(s)
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return errLeft
 	}
@@ -365,6 +373,7 @@
 		return
 	}
 	s.run.Ended = true
+	s.keeper.stop(s)
 	s.f.Notify(s.run)
 }
 
--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -1,6 +1,7 @@
 package rwforward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -48,3 +49,12 @@
 	Reply(status int, h http.Header) Reply
 	Answer(h http.Header) http.Header
 }
+
+// Engines orders what model servers do with the memory of runs.
+type Engines interface {
+	// Copy copies the memory of a run at a server to another server, or what is
+	// new since the last call, and returns the handle of the copy.
+	Copy(ctx context.Context, server, run, target string) (handle string, err error)
+	// Free gives up a copy, at both ends.
+	Free(ctx context.Context, server, handle string) error
+}
--- a/internal/rwlink/pool.go
+++ b/internal/rwlink/pool.go
@@ -69,6 +69,16 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Drop closes the idle connections to a server that was lost.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // Sweep closes connections that were idle too long.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
