Streams go to the best of four servers picked at random

Cause: after a zone's loss all instances placed their streams in the same instant and all took the same emptiest server; its backlog was then taken for a hang. Conclusion: kept, with a longer slack before a first event is called hung and a longer gathering of the servers' changes.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -31,7 +31,7 @@
 	serversWait = 2500 * time.Millisecond
 	// gather is the pause between two watches in which changes of the servers
 	// gather: a small part of the time in which a leaving server must be known.
-	gather = 150 * time.Millisecond
+	gather = 400 * time.Millisecond
 	// membersWait is how long a watch of the instances waits: they change rarely,
 	// and news of a change is of use, not needed.
 	membersWait = 25 * time.Second
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -379,8 +379,12 @@
 
 func (s *stream) callerLeft() error {
 	s.run.Lost = true
+	text := "caller left"
+	if s.f.Leaving() {
+		text = "stream cut for the stop"
+	}
 	s.f.Count.add("left.stream")
-	s.f.Log.Info("caller left", "request", s.ask.ID, "server", s.run.Server, "events", s.events, "took", time.Since(s.call.began).Seconds())
+	s.f.Log.Info(text, "request", s.ask.ID, "server", s.run.Server, "events", s.events, "took", time.Since(s.call.began).Seconds())
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/rwpick/stream.go
+++ b/internal/rwpick/stream.go
@@ -26,6 +26,10 @@
 	// fillCost is the same for a server's memory when full: it decides between
 	// servers with nothing to read.
 	fillCost = 1000
+	// choices is how many servers with room are compared: enough to find one with
+	// nothing to read, and few enough that instances which all place streams in
+	// the same instant, as after a zone's loss, do not all take the same one.
+	choices = 4
 	// placeTie spreads instances that see the same load, in tokens.
 	placeTie = 200
 )
@@ -41,13 +45,19 @@
 func Stream(servers []rwbackend.View, engine EngineSize, need Need, tried func(id string) bool) (Placement, bool) {
 	var p Placement
 	best := math.Inf(1)
-	for _, s := range servers {
+	looked, suspectOnly := 0, true
+	for _, at := range rand.Perm(len(servers)) {
+		s := servers[at]
 		if tried(s.ID) || !fits(s, engine, need) {
 			continue
 		}
 		if cost := streamCost(s, engine); cost < best {
 			best, p.Server = cost, s
 		}
+		suspectOnly = suspectOnly && s.Suspect
+		if looked++; looked >= choices && !suspectOnly {
+			break
+		}
 	}
 	if math.IsInf(best, 1) {
 		return p, false
--- a/internal/rwrelay/silence.go
+++ b/internal/rwrelay/silence.go
@@ -23,7 +23,7 @@
 	// firstFactor and firstSlack bound the wait for a first event against the
 	// time that the prompts before it take.
 	firstFactor = 2
-	firstSlack  = 1500 * time.Millisecond
+	firstSlack  = 2200 * time.Millisecond
 	// gapWeight is the weight of a new gap in the usual one.
 	gapWeight = 0.2
 	// pauseDefault is the pause that callers bear where a route names none.
