--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -38,7 +38,8 @@
 	store := platform.NewStore(settings.Store)
 	instance := &rwentry.Instance{
 		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Engines: platform.NewEngines(), Log: log,
-		Stores: rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store)},
+		Stores:      rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store)},
+		DecodeState: platform.DecodeState, DecodeServer: platform.DecodeServer,
 	}
 	go func() {
 		for range reload {
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -24,17 +25,6 @@
 
 // Settings of an instance.
 const (
-	// stateWait is how long a watch of the desired state waits: what it confirms
-	// is older by as much, and must stay well under the bound for keys.
-	stateWait = 1200 * time.Millisecond
-	// serversWait is how long a watch of the servers waits.
-	serversWait = 2500 * time.Millisecond
-	// gather is the pause between two watches in which changes of the servers
-	// gather: a small part of the time in which a leaving server must be known.
-	gather = 400 * time.Millisecond
-	// membersWait is how long a watch of the instances waits: they change rarely,
-	// and news of a change is of use, not needed.
-	membersWait = 25 * time.Second
 	// keyMargin is the part of the bound for keys after which they are refused.
 	keyMargin = 0.95
 	// collectPercent trades processor time for memory, which is priced.
@@ -45,29 +35,29 @@
 
 // Stores are the kinds of object that an instance follows.
 type Stores struct {
-	States  rwfeed.Source[*rwroute.Table]
-	Servers rwfeed.Source[rwbackend.Entry]
+	States  rwfeed.Source
+	Servers rwfeed.Source
 	Members MemberStore
 }
 
 // MemberStore keeps the list of instances.
 type MemberStore interface {
-	rwfeed.Source[rwpeer.Member]
-	Put(ctx context.Context, name string, m rwpeer.Member) error
+	rwfeed.Source
+	Put(ctx context.Context, name string, spec any) error
 }
 
 // Instance is one entry instance. Set the exported fields before Run.
 type Instance struct {
-	Settings  Settings
-	ReadyPath string // at which the balancer asks
-	Stores    Stores
-	Wire      rwforward.Wire
-	Engines   rwforward.Engines
-	Log       logr.Logger
-
-	settings  *rwfeed.Settings
-	states    *rwfeed.Follower[*rwroute.Table]
-	servers   *rwfeed.Follower[rwbackend.Entry]
+	Settings     Settings
+	ReadyPath    string // at which the balancer asks
+	Stores       Stores
+	DecodeState  func(name string, spec json.RawMessage) (*rwroute.Table, error)
+	DecodeServer func(name string, spec json.RawMessage) (rwbackend.Entry, error)
+	Wire         rwforward.Wire
+	Engines      rwforward.Engines
+	Log          logr.Logger
+
+	feeds     feeds
 	directory *rwbackend.Directory
 	forwarder *rwforward.Forwarder
 	pool      rwlink.Pool
@@ -83,15 +73,10 @@
 func (i *Instance) Run(ctx context.Context) error {
 	i.boundMemory()
 	i.directory = rwbackend.NewDirectory(i.Settings.Name)
-	i.settings = &rwfeed.Settings{Log: i.Log}
-	i.states = &rwfeed.Follower[*rwroute.Table]{Kind: "state", Source: i.Stores.States, Wait: stateWait, Apply: i.settings.Apply, Log: i.Log}
-	list := &rwfeed.Servers{Directory: i.directory, Log: i.Log}
-	i.servers = &rwfeed.Follower[rwbackend.Entry]{Kind: "servers", Source: i.Stores.Servers, Wait: serversWait, Gather: gather, Apply: list.Apply, Log: i.Log}
-	list.Regained = i.servers.Regained
-	i.members.Self, i.members.Log = i.Settings.Name, i.Log
-	members := &rwfeed.Follower[rwpeer.Member]{Kind: "instances", Source: i.Stores.Members, Wait: membersWait, Gather: time.Second, Apply: i.members.Apply, Log: i.Log}
+	i.members.Self, i.members.Zone, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Log
 	i.exchange.Self, i.exchange.Life, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.Notices
 	i.exchange.Members, i.exchange.Directory, i.exchange.Log = &i.members, i.directory, i.Log
+	i.feeds.build(i)
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire, Engines: i.Engines,
 		Budget: &rwretry.Budget{}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
@@ -101,7 +86,7 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
-	for _, run := range []func(context.Context){i.states.Run, i.servers.Run, list.Run, i.sweep, i.join, members.Run, i.exchange.Run, i.exchange.Hello} {
+	for _, run := range append(i.feeds.runs(), i.sweep, i.join, i.exchange.Run, i.exchange.Hello) {
 		work.Go(func() { run(background) })
 	}
 	return i.serve(ctx)
@@ -135,11 +120,11 @@
 
 // state is the desired state in force.
 func (i *Instance) state() rwforward.State {
-	s := rwforward.State{Table: i.settings.Table(), Keys: time.Duration(keyMargin * float64(i.Settings.KeyBound))}
+	s := rwforward.State{Table: i.feeds.settings.Table(), Keys: time.Duration(keyMargin * float64(i.Settings.KeyBound))}
 	if i.Settings.KeyBound <= 0 {
 		s.Keys = 1<<63 - 1
 	}
-	age, known := i.states.Age()
+	age, known := i.feeds.states.Age()
 	if !known {
 		s.Table = nil
 	}
@@ -150,7 +135,7 @@
 // ready reports whether callers are served as well here as elsewhere.
 func (i *Instance) ready() bool {
 	state := i.state()
-	_, listed := i.servers.Age()
+	_, listed := i.feeds.servers.Age()
 	return state.Table != nil && listed && state.Age <= state.Keys && !i.leaving.Load()
 }
 
@@ -164,7 +149,7 @@
 		case <-ticker.C:
 		}
 		i.pool.Sweep()
-		if table := i.settings.Table(); table != nil && table.Limits.IdleTime > 0 {
+		if table := i.feeds.settings.Table(); table != nil && table.Limits.IdleTime > 0 {
 			i.idle.closeOver(table.Limits.IdleTime)
 		}
 	}
--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -14,50 +15,42 @@
 // to come back; from the platform's promise of about two seconds.
 const returnTime = 2200 * time.Millisecond
 
-// Servers keeps the directory as the store lists it.
+// Servers keeps the directory as the store lists it. Set the exported fields
+// before first use.
 type Servers struct {
 	Directory *rwbackend.Directory
+	Decode    func(name string, spec json.RawMessage) (rwbackend.Entry, error)
 	Regained  func() time.Time // when the store was last regained after an outage
 	Log       logr.Logger
 
 	mu      sync.Mutex
 	missing map[string]bool // gone from the list, perhaps for the outage alone
-	listed  map[string]int64
 }
 
 // Apply takes in changes of the list.
-func (s *Servers) Apply(b Batch[rwbackend.Entry]) {
+func (s *Servers) Apply(b Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listed == nil {
-		s.listed, s.missing = map[string]int64{}, map[string]bool{}
+	if s.missing == nil {
+		s.missing = map[string]bool{}
 	}
-	seen := map[string]bool{}
 	for _, c := range b.Changes {
-		seen[c.Name] = true
-		switch {
-		case c.Gone:
+		if c.Gone {
 			s.removeLocked(c.Name)
-		case c.Bad != nil:
-			s.Log.Info("entry of a server can't be read", "server", c.Name, "cause", c.Bad.Error())
+			continue
+		}
+		entry, err := s.Decode(c.Name, c.Spec)
+		if err != nil {
+			s.Log.Info("entry of a server can't be read", "server", c.Name, "cause", err.Error())
 			s.removeLocked(c.Name)
-		case c.Revision >= s.listed[c.Name]:
-			s.listed[c.Name] = c.Revision
-			delete(s.missing, c.Name)
-			old, known := s.Directory.Entry(c.Name)
-			s.Directory.Put(c.Value)
-			if !known || old.Leaving != c.Value.Leaving || old.Incarnation != c.Value.Incarnation {
-				s.Log.Info("server listed", "server", c.Name, "service", c.Value.Service, "zone", c.Value.Zone, "address", c.Value.Address,
-					"version", c.Value.Version, "leaving", c.Value.Leaving, "revision", c.Revision)
-			}
+			continue
 		}
-	}
-	if !b.Whole {
-		return
-	}
-	for name := range s.listed {
-		if !seen[name] {
-			s.removeLocked(name)
+		delete(s.missing, c.Name)
+		old, known := s.Directory.Entry(c.Name)
+		s.Directory.Put(entry)
+		if !known || old.Leaving != entry.Leaving || old.Incarnation != entry.Incarnation {
+			s.Log.Info("server listed", "server", c.Name, "service", entry.Service, "zone", entry.Zone, "address", entry.Address,
+				"version", entry.Version, "leaving", entry.Leaving, "revision", c.Revision)
 		}
 	}
 }
@@ -65,10 +58,11 @@
 // removeLocked takes a server out, or waits for its entry to come back when it
 // may have lapsed for the store's outage alone.
 func (s *Servers) removeLocked(name string) {
-	if _, ok := s.listed[name]; !ok {
+	entry, ok := s.Directory.Entry(name)
+	if !ok {
 		return
 	}
-	if entry, ok := s.Directory.Entry(name); ok && !entry.Leaving && time.Since(s.Regained()) < returnTime {
+	if !entry.Leaving && time.Since(s.Regained()) < returnTime {
 		s.missing[name] = true
 		return
 	}
@@ -76,7 +70,6 @@
 }
 
 func (s *Servers) dropLocked(name, cause string) {
-	delete(s.listed, name)
 	delete(s.missing, name)
 	s.Directory.Remove(name)
 	s.Log.Info("server gone", "server", name, "cause", cause)
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -22,8 +22,9 @@
 	// trips of the users' regions.
 	dialTime = 200 * time.Millisecond
 	// staleAge is how old the confirmation of the desired state may be for an
-	// unknown route or key to be final: the time in which a change is in force.
-	staleAge = 2 * time.Second
+	// unknown route or key to be final: what a sound watcher and one hop from it
+	// may take. An instance that is behind by more says so.
+	staleAge = 3 * time.Second
 	// repeatShare is the part of first tries that one instance adds in repeats:
 	// under the users' bound for the fleet.
 	repeatShare = 0.6
