--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -23,6 +23,9 @@
 	// readRateStart is the prompt tokens that a server reads a second, until
 	// measured; from the sheets of the model servers.
 	readRateStart = 5000
+	// tokenTimeStart is the time between two tokens, until measured; from the
+	// sheets of the model servers.
+	tokenTimeStart = 4 * time.Millisecond
 )
 
 // Directory holds the known servers and the runs placed at them.
@@ -35,13 +38,14 @@
 	runs     map[string]*Run // by request id
 	parts    map[string]*Run // newest run of a prompt's last part
 	readRate float64         // prompt tokens a second, measured
+	token    float64         // seconds between two tokens, measured
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, readRate: readRateStart,
+		runs: map[string]*Run{}, parts: map[string]*Run{}, readRate: readRateStart, token: tokenTimeStart.Seconds(),
 	}
 }
 
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -235,3 +235,20 @@
 	defer d.mu.Unlock()
 	return d.readRate
 }
+
+// MeasureToken takes in how long a number of tokens took.
+func (d *Directory) MeasureToken(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.token += averageWeight / 2 * (took.Seconds()/float64(tokens) - d.token)
+}
+
+// TokenTime is the time between two tokens of a stream.
+func (d *Directory) TokenTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(d.token * float64(time.Second))
+}
--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ragwortwall/internal/rwfeed"
@@ -26,6 +27,11 @@
 	// storeAfter is how long a follower waits for its peers before it watches the
 	// store itself.
 	storeAfter = 900 * time.Millisecond
+	// turnEach is the pause between two calls of the fleet to a store that does
+	// not answer, made by instances that are no watchers: together they ask no
+	// more often than a watcher does.
+	turnEach = 150 * time.Millisecond
+	turnMost = 10 * time.Second
 )
 
 // feeds are what an instance follows in the store.
@@ -34,6 +40,7 @@
 	list                   rwfeed.Servers
 	states, servers, peers rwfeed.Held
 	watchers               []*rwfeed.Watcher
+	state                  *rwfeed.Watcher // the one that follows the desired state
 	follower               rwfeed.Follower
 	server                 rwfeed.Server
 	instance               *Instance
@@ -49,7 +56,13 @@
 	f.peers.Kind, f.peers.Apply, f.peers.Log = "instances", i.members.Apply, i.Log
 	f.servers.Slow, f.peers.Slow = true, true
 	watch := func(held *rwfeed.Held, source rwfeed.Source, wait, pause time.Duration) *rwfeed.Watcher {
-		w := &rwfeed.Watcher{Held: held, Source: source, Task: f.watches, Wait: wait, Gather: pause, Log: i.Log}
+		w := &rwfeed.Watcher{Held: held, Source: source, Task: f.watches, Wait: wait, Gather: pause, Back: f.back, Log: i.Log}
+		if state := f.state; state != nil {
+			// While the store does not answer one of the watchers asks.
+			w.Task = func() bool { return f.watches() && !state.Lost() }
+		} else {
+			f.state = w
+		}
 		f.watchers = append(f.watchers, w)
 		return w
 	}
@@ -74,14 +87,34 @@
 }
 
 // watches reports whether this instance watches the store now: it is its zone's
-// watcher, it knows of no other instance, or no peer answers.
+// watcher, or no peer knows more. An instance that has just started asks the
+// seeds first, unless it is one of them.
 func (f *feeds) watches() bool {
-	if f.instance.members.Count() == 1 || f.instance.members.Watches() {
+	members := &f.instance.members
+	if members.Count() > 1 && members.Watches() || members.Count() == 1 && f.seed() {
 		return true
 	}
 	return !f.follower.Following() && time.Since(f.started) > storeAfter
 }
 
+func (f *feeds) seed() bool {
+	return len(f.instance.Settings.Seeds) == 0 || slices.Contains(f.instance.Settings.Seeds, f.instance.Settings.Instances)
+}
+
+// back is the longest pause after failed calls. Instances whose peers answer but
+// know no more leave the asking to the watchers, mostly.
+func (f *feeds) back() time.Duration {
+	members := &f.instance.members
+	if members.Watches() || !f.follower.Reached() {
+		return watcherBack
+	}
+	return min(turnMost, max(watcherBack, time.Duration(members.Count())*turnEach))
+}
+
+// watcherBack is the longest pause of a watcher after failed calls: short enough
+// for a change to be in force within its bound after an outage.
+const watcherBack = 600 * time.Millisecond
+
 // tries are the instances to follow now.
 func (f *feeds) tries() []string {
 	if age, known := f.states.Age(); f.instance.members.Watches() && known && age < peersAfter {
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -79,7 +79,7 @@
 	i.feeds.build(i)
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire, Engines: i.Engines,
-		Budget: &rwretry.Budget{}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
+		Budget: &rwretry.Budget{Most: i.repeats}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -92,11 +92,16 @@
 	return i.serve(ctx)
 }
 
-// join lists this instance in the store.
+// join lists this instance in the store, unless it is listed already.
 func (i *Instance) join(ctx context.Context) {
 	const again = time.Second // between tries while the store is away
 	member := rwpeer.Member{Name: i.Settings.Name, Zone: i.Settings.Zone, Instances: i.Settings.Instances, Notices: i.Settings.Notices}
-	for ctx.Err() == nil {
+	for began := time.Now(); time.Since(began) < joinTime && i.members.Count() == 1; {
+		if !rwtime.Sleep(ctx, roleTime) {
+			return
+		}
+	}
+	for ctx.Err() == nil && !i.members.Listed(member) {
 		call, cancel := context.WithTimeout(ctx, joinTime)
 		err := i.Stores.Members.Put(call, member.Name, member)
 		cancel()
@@ -108,8 +113,12 @@
 	}
 }
 
-// joinTime is how long the write of the own entry may take.
-const joinTime = 2 * time.Second
+const (
+	// joinTime is how long the list of instances is waited for before this one is
+	// written, and how long the write may take.
+	joinTime = 2 * time.Second
+	roleTime = 100 * time.Millisecond
+)
 
 func (i *Instance) boundMemory() {
 	debug.SetGCPercent(collectPercent)
@@ -132,6 +141,16 @@
 	return s
 }
 
+// repeats is how many repeats this instance may save up: its share of what the
+// fleet may make besides a part of the requests.
+func (i *Instance) repeats() float64 {
+	return max(1, repeatPart*float64(i.Settings.RetryExtra)/float64(i.members.Count()))
+}
+
+// repeatPart is the part of the fleet's allowance that is given out: instances
+// may know of different numbers of each other.
+const repeatPart = 0.7
+
 // ready reports whether callers are served as well here as elsewhere.
 func (i *Instance) ready() bool {
 	state := i.state()
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -116,6 +116,7 @@
 
 	mu      sync.Mutex
 	heard   time.Time // of the last good answer
+	reached time.Time // of the last answer, of use or not
 	address string
 	conn    *drpcconn.Conn
 }
@@ -142,6 +143,14 @@
 	return time.Since(f.heard) < followWait+followMore
 }
 
+// Reached reports whether a peer has answered a short while ago, though it may
+// have known no more than this instance.
+func (f *Follower) Reached() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.reached) < 2*(followWait+followMore)
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.drop()
@@ -176,6 +185,9 @@
 		f.drop()
 		return false
 	}
+	f.mu.Lock()
+	f.reached = time.Now()
+	f.mu.Unlock()
 	useful, changes := true, false
 	for _, h := range f.Held {
 		part := answer.Kinds[h.Kind]
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -38,15 +38,16 @@
 type Watcher struct {
 	Held   *Held
 	Source Source
-	Task   func() bool   // reports whether this instance is to watch
-	Wait   time.Duration // that a watch waits for a change: how often the state is confirmed
-	Gather time.Duration // pause between two watches, in which changes gather
+	Task   func() bool          // reports whether this instance is to watch
+	Wait   time.Duration        // that a watch waits for a change: how often the state is confirmed
+	Gather time.Duration        // pause between two watches, in which changes gather
+	Back   func() time.Duration // longest pause after failed calls; nil for that of a watcher
 	Log    logr.Logger
 
 	whole bool // the next call lists
-	lost  time.Time
 
 	mu       sync.Mutex
+	lost     time.Time // since when calls fail
 	regained time.Time
 }
 
@@ -73,8 +74,13 @@
 			w.whole = true
 		default:
 			w.failed(err)
+			most := backMost
+			if w.Back != nil {
+				most = w.Back()
+			}
+			back = min(back, most)
 			rwtime.Sleep(ctx, back/2+rand.N(back/2))
-			back = min(2*back, backMost)
+			back = min(2*back, most)
 		}
 	}
 }
@@ -86,7 +92,7 @@
 		return w.Source.List(ctx)
 	}
 	wait := w.Wait
-	if !w.lost.IsZero() {
+	if w.Lost() {
 		wait = 0 // an answer at once tells that the store is back
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMore)
@@ -95,15 +101,7 @@
 }
 
 func (w *Watcher) took(batch Batch, began rwtime.Boot) {
-	if !w.lost.IsZero() {
-		if away := time.Since(w.lost); away > lostAfter {
-			w.Log.Info("store regained", "kind", w.Held.Kind, "away", away.Seconds(), "revision", batch.Revision)
-			w.mu.Lock()
-			w.regained = time.Now()
-			w.mu.Unlock()
-		}
-		w.lost = time.Time{}
-	}
+	w.answered(batch.Revision)
 	if !w.Held.Offer(batch, began) {
 		w.Log.Info("older state passed over", "kind", w.Held.Kind, "revision", batch.Revision, "have", w.Held.Revision())
 		return
@@ -111,13 +109,36 @@
 	w.whole = false
 }
 
+// answered notes that the store answered, and when it does again after an outage.
+func (w *Watcher) answered(revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lost.IsZero() {
+		return
+	}
+	if away := time.Since(w.lost); away > lostAfter {
+		w.Log.Info("store regained", "kind", w.Held.Kind, "away", away.Seconds(), "revision", revision)
+		w.regained = time.Now()
+	}
+	w.lost = time.Time{}
+}
+
 func (w *Watcher) failed(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.lost.IsZero() {
 		w.lost = time.Now()
 		w.Log.Info("store call failed", "kind", w.Held.Kind, "cause", err.Error(), "revision", w.Held.Revision())
 	}
 }
 
+// Lost reports whether the last call failed.
+func (w *Watcher) Lost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.lost.IsZero()
+}
+
 // Regained is when the store was last regained after an outage.
 func (w *Watcher) Regained() time.Time {
 	w.mu.Lock()
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -25,6 +25,7 @@
 	run     rwbackend.Run // as told to peers
 	begun   bool          // the caller has the head of the answer
 	events  int
+	firstAt time.Time // of the first event
 	last    error
 	resumes int
 }
@@ -62,7 +63,7 @@
 			s.last = err
 		}
 		if c.left() <= 0 {
-			return s.giveUp(rwerror.New(rwerror.KindTimeout, "send it again with the id of the last event", "the time for the stream is over").WithRan(rwerror.RanUnknown))
+			return s.giveUp(s.outOfTime())
 		}
 		if s.begun && !c.route.Resumable {
 			return s.giveUp(s.last)
@@ -93,7 +94,7 @@
 // where the prompt is read soonest.
 func (s *stream) next() (next, error) {
 	if s.left() <= 0 {
-		return next{}, rwerror.New(rwerror.KindTimeout, "send it again with more time", "the time for the stream is over")
+		return next{}, s.outOfTime()
 	}
 	if s.sent >= max(1, s.route.Attempts) {
 		return next{}, s.exhausted()
@@ -118,9 +119,31 @@
 		return next{}, rwerror.New(rwerror.KindOverloaded, "come back after the time in Retry-After",
 			"none of %d model servers has memory for %d tokens", len(servers), need.Prompt+need.Output).WithRetryAfter(retryLater / 2)
 	}
+	first := rwpick.FirstBy(place.Server, need, s.f.Directory.ReadRate())
+	if !s.begun && rwpick.Hopeless(s.left(), first, s.f.Directory.TokenTime(), need.Output) {
+		return next{}, s.hopeless(first)
+	}
 	return next{server: place.Server, place: place, read: need.Read}, nil
 }
 
+func (s *stream) outOfTime() error {
+	e := rwerror.New(rwerror.KindTimeout, "send it again with the id of the last event", "the time for the stream is over")
+	if s.sent > 0 {
+		return e.WithRan(rwerror.RanUnknown)
+	}
+	return e
+}
+
+// hopeless is the answer to a stream that can't end in time: it says so at once.
+func (s *stream) hopeless(first time.Duration) error {
+	e := rwerror.New(rwerror.KindOverloaded, "send it again with more time",
+		"the first event would come in %s, and %s are left", first.Round(time.Millisecond), s.left().Round(time.Millisecond)).WithRetryAfter(retrySoon)
+	if s.sent > 0 {
+		return e.WithRan(rwerror.RanUnknown)
+	}
+	return e
+}
+
 // atCopy is the server that holds the stream's copy, if it may be used. There is
 // none before the prompt is read.
 func (s *stream) atCopy(servers []rwbackend.View, engine rwpick.EngineSize, need rwpick.Need, tried func(string) bool) (next, bool) {
@@ -351,6 +374,7 @@
 	}
 	s.events++
 	if s.events == 1 {
+		s.firstAt = time.Now()
 		s.f.Count.first(time.Since(s.call.began))
 	}
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
@@ -362,6 +386,9 @@
 // finish notes that the stream has come to its end.
 func (s *stream) finish(n next, reply Reply) error {
 	s.f.Directory.Answered(n.server.ID, false, 0, reply.Load)
+	if s.sent == 1 && s.ask.Output > 0 {
+		s.f.Directory.MeasureToken(s.ask.Output, time.Since(s.firstAt))
+	}
 	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
 	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
 	return nil
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex
 	known map[string]Member
+	own   Member // this instance as listed
 }
 
 // Apply takes in changes of the list.
@@ -37,10 +38,13 @@
 	}
 	for _, c := range b.Changes {
 		var member Member
-		if !c.Gone && json.Unmarshal(c.Spec, &member) == nil && c.Name != m.Self {
-			m.known[c.Name] = member
-		} else {
+		switch {
+		case c.Gone || json.Unmarshal(c.Spec, &member) != nil:
 			delete(m.known, c.Name)
+		case c.Name == m.Self:
+			m.own = member
+		default:
+			m.known[c.Name] = member
 		}
 	}
 	m.Log.Info("instances known", "count", len(m.known), "revision", b.Revision)
@@ -111,6 +115,13 @@
 	return others
 }
 
+// Listed reports whether this instance is listed as given.
+func (m *Members) Listed(own Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own == own
+}
+
 // Count is the number of instances, this one counted.
 func (m *Members) Count() int {
 	m.mu.Lock()
--- a/internal/rwpick/stream.go
+++ b/internal/rwpick/stream.go
@@ -122,3 +122,10 @@
 func FirstBy(s rwbackend.View, need Need, rate float64) time.Duration {
 	return time.Duration(float64(s.Backlog+need.Read) / max(1, rate) * float64(time.Second))
 }
+
+// Hopeless reports whether a stream that starts anew can't come to its end in the
+// time that is left: with a quarter of its longest output at the usual pace, which
+// next to all outputs reach.
+func Hopeless(left, first, token time.Duration, output int) bool {
+	return left < first+token*time.Duration(output/4)
+}
--- a/internal/rwretry/budget.go
+++ b/internal/rwretry/budget.go
@@ -15,6 +15,8 @@
 // each retry takes one. Requests are spread over instances by hash, so that the
 // instances' budgets add up to one of the fleet.
 type Budget struct {
+	Most func() float64 // that an account may hold; nil for a default
+
 	mu       sync.Mutex
 	accounts map[string]float64
 }
@@ -24,7 +26,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	balance := b.balanceLocked(route)
-	b.accounts[route] = min(budgetBurst, balance+share)
+	b.accounts[route] = min(b.most(), balance+share)
 }
 
 // Spend takes one retry from a route's account, and reports whether it had one.
@@ -39,6 +41,13 @@
 	return true
 }
 
+func (b *Budget) most() float64 {
+	if b.Most == nil {
+		return budgetBurst
+	}
+	return b.Most()
+}
+
 // Balances returns each route's account.
 func (b *Budget) Balances() map[string]float64 {
 	b.mu.Lock()
@@ -56,7 +65,7 @@
 	}
 	balance, ok := b.accounts[route]
 	if !ok {
-		balance = budgetBurst
+		balance = b.most()
 		b.accounts[route] = balance
 	}
 	return balance
