Followers keep to the peer that was of use, and take turns at the store

Cause: a follower asked a peer that was behind first, each time, and fell back to the store; without a store 99 instances began their pauses anew at 50 ms.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"ragwortwall/internal/rwfeed"
@@ -45,6 +47,9 @@
 	server                 rwfeed.Server
 	instance               *Instance
 	started                time.Time
+
+	mu     sync.Mutex
+	turnAt time.Time // when this instance may ask the store though it is no watcher
 }
 
 func (f *feeds) build(i *Instance) {
@@ -94,14 +99,35 @@
 	if members.Count() > 1 && members.Watches() || members.Count() == 1 && f.seed() {
 		return true
 	}
-	return !f.follower.Following() && time.Since(f.started) > storeAfter
+	return f.turn()
+}
+
+// turn reports whether it is the turn of an instance that is no watcher to ask
+// the store. Instances whose peers answer but know no more take turns.
+func (f *feeds) turn() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.follower.Following() {
+		f.turnAt = time.Time{}
+		return false
+	}
+	if time.Since(f.started) < storeAfter {
+		return false
+	}
+	if f.turnAt.IsZero() {
+		f.turnAt = time.Now()
+		if f.follower.Reached() {
+			f.turnAt = f.turnAt.Add(storeAfter + rand.N(f.back()))
+		}
+	}
+	return time.Now().After(f.turnAt)
 }
 
 func (f *feeds) seed() bool {
 	return len(f.instance.Settings.Seeds) == 0 || slices.Contains(f.instance.Settings.Seeds, f.instance.Settings.Instances)
 }
 
-// back is the longest pause after failed calls. Instances whose peers answer but
+// back is the pause after a failed call. Instances whose peers answer but
 // know no more leave the asking to the watchers, mostly.
 func (f *feeds) back() time.Duration {
 	members := &f.instance.members
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -96,9 +96,9 @@
 func (i *Instance) join(ctx context.Context) {
 	const again = time.Second // between tries while the store is away
 	member := rwpeer.Member{Name: i.Settings.Name, Zone: i.Settings.Zone, Instances: i.Settings.Instances, Notices: i.Settings.Notices}
-	for began := time.Now(); time.Since(began) < joinTime && i.members.Count() == 1; {
-		if !rwtime.Sleep(ctx, roleTime) {
-			return
+	for began := time.Now(); time.Since(began) < joinTime; {
+		if _, known := i.feeds.peers.Age(); known || !rwtime.Sleep(ctx, roleTime) {
+			break
 		}
 	}
 	for ctx.Err() == nil && !i.members.Listed(member) {
--- a/internal/rwfeed/held.go
+++ b/internal/rwfeed/held.go
@@ -144,8 +144,9 @@
 // later confirmation alone is not waited for.
 func (h *Held) wait(ctx context.Context, revision int64) {
 	for {
-		b, _, changed := h.since(revision)
-		if len(b.Changes) > 0 || b.Whole {
+		b, confirmed, changed := h.since(revision)
+		behind := confirmed == 0 && revision > 0 // whoever asks knows more
+		if len(b.Changes) > 0 || b.Whole || behind {
 			return
 		}
 		select {
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,9 +156,8 @@
 func (f *Follower) Run(ctx context.Context) {
 	defer f.drop()
 	for ctx.Err() == nil {
-		peers := f.Peers()
 		good := false
-		for _, address := range peers {
+		for _, address := range f.inOrder() {
 			if good = f.follow(ctx, address); good || ctx.Err() != nil {
 				break
 			}
@@ -168,6 +168,18 @@
 	}
 }
 
+// inOrder returns the peers to try: the one that was last of use first, as long
+// as it is one of them.
+func (f *Follower) inOrder() []string {
+	peers := f.Peers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := slices.Index(peers, f.address); at > 0 && time.Since(f.heard) < followWait+followMore {
+		peers = append([]string{f.address}, slices.Delete(peers, at, at+1)...)
+	}
+	return peers
+}
+
 // follow asks one peer once. It reports whether the answer was of use.
 func (f *Follower) follow(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followMore)
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -41,7 +41,7 @@
 	Task   func() bool          // reports whether this instance is to watch
 	Wait   time.Duration        // that a watch waits for a change: how often the state is confirmed
 	Gather time.Duration        // pause between two watches, in which changes gather
-	Back   func() time.Duration // longest pause after failed calls; nil for that of a watcher
+	Back   func() time.Duration // pause after a failed call, if longer than a watcher's; nil for none
 	Log    logr.Logger
 
 	whole bool // the next call lists
@@ -74,13 +74,11 @@
 			w.whole = true
 		default:
 			w.failed(err)
-			most := backMost
-			if w.Back != nil {
-				most = w.Back()
+			if w.Back != nil && w.Back() > backMost {
+				back = w.Back()
 			}
-			back = min(back, most)
 			rwtime.Sleep(ctx, back/2+rand.N(back/2))
-			back = min(2*back, most)
+			back = min(2*back, backMost)
 		}
 	}
 }
