--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -52,22 +52,25 @@
 }
 
 // Lost notes that a server could not be reached, was silent or broke off. It is
-// avoided for a while, longer with each loss in a row.
-func (d *Directory) Lost(id string) {
+// avoided for a while, longer with each loss in a row. It reports whether that
+// is news.
+func (d *Directory) Lost(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s, ok := d.servers[id]
 	if !ok {
-		return
+		return false
 	}
 	s.observeLocked(true)
 	now := time.Now()
+	news := now.Sub(s.lostAt) > alarmTime
 	s.lostAt = now
 	if now.Before(s.suspect) {
-		return
+		return news
 	}
 	s.strikes++
 	s.suspect = now.Add(min(suspectMost, suspectTime<<min(3, s.strikes-1)))
+	return news
 }
 
 // Holds reports whether a server can still hold what was sent to it at a time:
@@ -79,8 +82,8 @@
 	return ok && s.Incarnation == incarnation && s.lostAt.Before(since)
 }
 
-// Alarmed returns the servers of a lost server's zone and service that were not
-// lost with it, when so many of them were lost at about the same time that the
+// Alarmed returns the servers of a lost server's zone and service that hold
+// something of this instance and were not lost with it, when so many of them were lost at about the same time that the
 // others may be too.
 func (d *Directory) Alarmed(id string) []Entry {
 	d.mu.Lock()
@@ -95,7 +98,7 @@
 		case o.Zone != s.Zone:
 		case time.Since(o.lostAt) < alarmTime:
 			lost++
-		case time.Since(o.alarmedAt) > alarmTime && len(o.loads)+len(o.copies) > 0:
+		case time.Since(o.alarmedAt) > alarmTime && d.ownLocked(o):
 			others = append(others, o.Entry)
 		}
 	}
@@ -108,6 +111,18 @@
 	return others
 }
 
+// ownLocked reports whether a server holds a run or a copy of this instance.
+func (d *Directory) ownLocked(s *Server) bool {
+	for _, held := range []map[string]*Run{s.loads, s.copies} {
+		for _, r := range held {
+			if r.Owner == d.Self && !r.Ended {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 const (
 	// alarmLosses is how many servers of a zone must be lost within alarmTime for
 	// the others to be looked at: single servers are lost more often than zones.
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -132,9 +132,10 @@
 // lost notes and tells that a server was lost, and looks at its neighbours when
 // several of them were lost at once.
 func (s *stream) lost(server rwbackend.View) {
-	s.f.Directory.Lost(server.ID)
 	s.f.Pool.Drop(server.Address)
-	s.f.Lost(server.ID)
+	if s.f.Directory.Lost(server.ID) {
+		s.f.Lost(server.ID)
+	}
 	for _, e := range s.f.Directory.Alarmed(server.ID) {
 		go s.f.look(e)
 	}
@@ -148,7 +149,8 @@
 		return
 	}
 	f.Log.Info("server lost with its zone", "server", e.ID, "zone", e.Zone)
-	f.Directory.Lost(e.ID)
 	f.Pool.Drop(e.Address)
-	f.Lost(e.ID)
+	if f.Directory.Lost(e.ID) {
+		f.Lost(e.ID)
+	}
 }
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -25,7 +25,9 @@
 	run     rwbackend.Run // as told to peers
 	begun   bool          // the caller has the head of the answer
 	events  int
-	firstAt time.Time // of the first event
+	firstAt time.Time     // of the first event
+	lastAt  time.Time     // of the last event
+	pause   time.Duration // the longest between two events, whoever sent them
 	last    error
 	resumes int
 }
@@ -373,8 +375,13 @@
 		return errLeft
 	}
 	s.events++
+	now := time.Now()
+	if s.events > 1 {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
 	if s.events == 1 {
-		s.firstAt = time.Now()
+		s.firstAt = now
 		s.f.Count.first(time.Since(s.call.began))
 	}
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
@@ -390,7 +397,8 @@
 		s.f.Directory.MeasureToken(s.ask.Output, time.Since(s.firstAt))
 	}
 	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
-	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
+	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent,
+		"first", s.firstAt.Sub(s.call.began).Seconds(), "pause", s.pause.Seconds(), "took", time.Since(s.call.began).Seconds())
 	return nil
 }
 
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -26,7 +26,8 @@
 
 	mu    sync.Mutex
 	known map[string]Member
-	own   Member // this instance as listed
+	own   Member              // this instance as listed
+	zones map[string][]Member // the known ones, replaced whole; nil when out of date
 }
 
 // Apply takes in changes of the list.
@@ -47,6 +48,7 @@
 			m.known[c.Name] = member
 		}
 	}
+	m.zones = nil
 	m.Log.Info("instances known", "count", len(m.known), "revision", b.Revision)
 }
 
@@ -115,6 +117,19 @@
 	return others
 }
 
+// Zones returns the other instances by their availability zones.
+func (m *Members) Zones() map[string][]Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.zones == nil {
+		m.zones = map[string][]Member{}
+		for _, member := range m.known {
+			m.zones[member.Zone] = append(m.zones[member.Zone], member)
+		}
+	}
+	return m.zones
+}
+
 // Listed reports whether this instance is listed as given.
 func (m *Members) Listed(own Member) bool {
 	m.mu.Lock()
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,9 +17,10 @@
 
 // Notice is one datagram.
 type Notice struct {
-	From  string          `json:"from"`            // name of the sender
+	From  string          `json:"from"`            // name of who has the news
 	Life  int64           `json:"life"`            // of the sender: another after a restart
 	Hello bool            `json:"hello,omitempty"` // the sender has just started: tell it of your runs
+	Relay bool            `json:"relay,omitempty"` // hand it on within your zone
 	Runs  []rwbackend.Run `json:"runs,omitempty"`  // as they are now
 	Lost  []string        `json:"lost,omitempty"`  // servers that the sender lost
 }
@@ -26,8 +28,16 @@
 const (
 	// noticeMost keeps a notice within one packet, in bytes.
 	noticeMost = 1300
-	// runsMost is how many runs fit into one notice.
+	// runsMost and lostMost are how many fit into one notice.
 	runsMost = 4
+	lostMost = 16
+	// gatherTime is how long news gather before they are sent: a zone's loss
+	// brings many at once, and each packet costs every instance a wake-up.
+	gatherTime = 5 * time.Millisecond
+	// directMost is the size of a zone up to which each of its instances is sent
+	// the notice; larger zones get it by one of their instances, picked at random
+	// each time, so that nobody's link carries a packet for every instance.
+	directMost = 6
 	// helloTries is how often a start is told: datagrams get lost.
 	helloTries    = 3
 	helloInterval = 300 * time.Millisecond
@@ -46,6 +56,8 @@
 	conn  *net.UDPConn
 	own   map[string]rwbackend.Run // running now, to tell those who start
 	lives map[string]int64
+	runs  []rwbackend.Run // to be told
+	lost  []string        // to be told
 }
 
 // Run takes notices until ctx ends.
@@ -108,7 +120,12 @@
 	if earlier != 0 && n.Life != earlier {
 		x.Directory.Forget(n.From)
 	}
+	if n.Relay {
+		n.Relay = false
+		x.post(x.Members.Zone, n)
+	}
 	for _, r := range n.Runs {
+		r.Owner = n.From
 		x.Directory.Place(r)
 	}
 	for _, id := range n.Lost {
@@ -135,7 +152,7 @@
 	x.mu.Unlock()
 	for len(runs) > 0 {
 		n := min(runsMost, len(runs))
-		x.send(to, Notice{Runs: runs[:n]})
+		x.send(to, x.signed(Notice{Runs: runs[:n]}))
 		runs = runs[n:]
 	}
 }
@@ -152,7 +169,7 @@
 		case <-ticker.C:
 		}
 		if others := x.Members.Others(); len(others) > 0 {
-			x.send(others, Notice{Hello: true})
+			x.send(others, x.signed(Notice{Hello: true}))
 			told++
 		}
 	}
@@ -162,25 +179,79 @@
 func (x *Exchange) Tell(r rwbackend.Run) {
 	x.Directory.Place(r)
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	if x.own == nil {
 		x.own = map[string]rwbackend.Run{}
 	}
+	old, known := x.own[r.ID]
 	if r.Ended {
 		delete(x.own, r.ID)
 	} else {
 		x.own[r.ID] = r
 	}
-	x.mu.Unlock()
-	x.send(x.Members.Others(), Notice{Runs: []rwbackend.Run{r}})
+	if old.Begun = r.Begun; known && old == r {
+		return // that a run has begun is told by the time that has passed
+	}
+	r.Owner = "" // it is the sender's
+	x.gatherLocked()
+	x.runs = append(x.runs, r)
 }
 
 // Lost tells of a server that this instance lost.
 func (x *Exchange) Lost(id string) {
-	x.send(x.Members.Others(), Notice{Lost: []string{id}})
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gatherLocked()
+	x.lost = append(x.lost, id)
 }
 
-func (x *Exchange) send(to []Member, n Notice) {
+func (x *Exchange) gatherLocked() {
+	if len(x.runs)+len(x.lost) == 0 {
+		time.AfterFunc(gatherTime, x.flush)
+	}
+}
+
+// flush sends what has gathered.
+func (x *Exchange) flush() {
+	x.mu.Lock()
+	runs, lost := x.runs, x.lost
+	x.runs, x.lost = nil, nil
+	x.mu.Unlock()
+	for len(runs) > 0 || len(lost) > 0 {
+		r, l := min(runsMost, len(runs)), min(lostMost, len(lost))
+		if r > 0 && l > lostMost/4 {
+			r = min(r, runsMost/2)
+		}
+		x.spread(x.signed(Notice{Runs: runs[:r], Lost: lost[:l]}))
+		runs, lost = runs[r:], lost[l:]
+	}
+}
+
+func (x *Exchange) signed(n Notice) Notice {
 	n.From, n.Life = x.Self, x.Life
+	return n
+}
+
+// spread sends a notice to all instances, to large zones by one of theirs.
+func (x *Exchange) spread(n Notice) {
+	for zone, members := range x.Members.Zones() {
+		if len(members) <= directMost {
+			x.post(zone, n)
+			continue
+		}
+		relay := n
+		relay.Relay = true
+		at := rand.IntN(len(members))
+		x.send(members[at:at+1], relay)
+	}
+}
+
+// post sends a notice to all other instances of a zone.
+func (x *Exchange) post(zone string, n Notice) {
+	x.send(x.Members.Zones()[zone], n)
+}
+
+func (x *Exchange) send(to []Member, n Notice) {
 	content, err := json.Marshal(n)
 	if err != nil || len(content) > noticeMost {
 		x.Log.Info("notice not sent", "bytes", len(content))
@@ -194,7 +265,7 @@
 	}
 	for _, m := range to {
 		address, err := netip.ParseAddrPort(m.Notices)
-		if err != nil {
+		if err != nil || m.Name == n.From {
 			continue
 		}
 		// A notice that can't be sent is a notice lost.
