--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -111,6 +111,23 @@
 	return others
 }
 
+// LostTogether reports whether other servers of a server's zone and service were
+// lost at about the same time as it, or it is listed no more.
+func (d *Directory) LostTogether(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	if !ok {
+		return true
+	}
+	for _, o := range d.services[s.Service] {
+		if o != s && o.Zone == s.Zone && s.lostAt.Sub(o.lostAt).Abs() < alarmTime {
+			return true
+		}
+	}
+	return false
+}
+
 // ownLocked reports whether a server holds a run or a copy of this instance.
 func (d *Directory) ownLocked(s *Server) bool {
 	for _, held := range []map[string]*Run{s.loads, s.copies} {
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -15,6 +15,7 @@
 	"ragwortwall/internal/rwforward"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpeer"
+	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
@@ -63,6 +64,7 @@
 	pool      rwlink.Pool
 	probe     rwlink.Probe
 	counters  rwforward.Counters
+	poison    rwpoison.Book
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
@@ -75,11 +77,11 @@
 	i.directory = rwbackend.NewDirectory(i.Settings.Name)
 	i.members.Self, i.members.Zone, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Log
 	i.exchange.Self, i.exchange.Life, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.Notices
-	i.exchange.Members, i.exchange.Directory, i.exchange.Log = &i.members, i.directory, i.Log
+	i.exchange.Members, i.exchange.Directory, i.exchange.Poison, i.exchange.Log = &i.members, i.directory, &i.poison, i.Log
 	i.feeds.build(i)
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire, Engines: i.Engines,
-		Budget: &rwretry.Budget{Most: i.repeats}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
+		Budget: &rwretry.Budget{Most: i.repeats}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Poison: &i.poison, Suspect: i.exchange.Suspect, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -9,6 +9,7 @@
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
 
@@ -53,7 +54,9 @@
 	Budget    *rwretry.Budget
 	Notify    func(rwbackend.Run) // tells peers of a run
 	Lost      func(server string) // tells peers of a server that was lost
-	Leaving   func() bool         // this instance is being stopped
+	Poison    *rwpoison.Book
+	Suspect   func(rwpoison.Suspicion) // tells peers of a request under which a server crashed
+	Leaving   func() bool              // this instance is being stopped
 	Log       logr.Logger
 	Count     *Counters
 }
@@ -90,6 +93,9 @@
 	}
 	if err == nil {
 		f.Count.request(c.route.Kind)
+		err = c.allow()
+	}
+	if err == nil {
 		if c.route.Kind == rwroute.KindStream {
 			err = c.stream()
 		} else {
@@ -136,6 +142,14 @@
 	return nil
 }
 
+// allow refuses a request that has crashed several servers.
+func (c *call) allow() error {
+	if refusal := c.f.Poison.Refusal(c.fingerprint()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 // unless returns a final error, but a passing one when this instance's settings
 // may be behind.
 func (c *call) unless(final *rwerror.Error) error {
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -172,8 +172,9 @@
 	a, err := c.exchange(conn, server.ID)
 	if err != nil {
 		conn.Close()
-		if c.r.Context().Err() == nil && !reused {
+		if ctx.Err() == nil && !reused {
 			c.f.Directory.Lost(server.ID)
+			c.implicate(server.Entry)
 		}
 		c.note("broken off", server.ID, err)
 		return a, fateUnknown, err
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -318,6 +318,7 @@
 	}
 	if s.left() > 0 {
 		s.lost(n.server)
+		s.implicate(n.server.Entry)
 	}
 	s.f.Log.Info("stream broken off", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "cause", cause.Error(),
 		"events", s.events, "copy", s.run.Copy, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwpoison"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -17,12 +18,13 @@
 
 // Notice is one datagram.
 type Notice struct {
-	From  string          `json:"from"`            // name of who has the news
-	Life  int64           `json:"life"`            // of the sender: another after a restart
-	Hello bool            `json:"hello,omitempty"` // the sender has just started: tell it of your runs
-	Relay bool            `json:"relay,omitempty"` // hand it on within your zone
-	Runs  []rwbackend.Run `json:"runs,omitempty"`  // as they are now
-	Lost  []string        `json:"lost,omitempty"`  // servers that the sender lost
+	From  string               `json:"from"`            // name of who has the news
+	Life  int64                `json:"life"`            // of the sender: another after a restart
+	Hello bool                 `json:"hello,omitempty"` // the sender has just started: tell it of your runs
+	Relay bool                 `json:"relay,omitempty"` // hand it on within your zone
+	Runs  []rwbackend.Run      `json:"runs,omitempty"`  // as they are now
+	Lost  []string             `json:"lost,omitempty"`  // servers that the sender lost
+	Crash []rwpoison.Suspicion `json:"crash,omitempty"` // requests under which servers crashed
 }
 
 const (
@@ -50,6 +52,7 @@
 	Address   string
 	Members   *Members
 	Directory *rwbackend.Directory
+	Poison    *rwpoison.Book
 	Log       logr.Logger
 
 	mu    sync.Mutex
@@ -131,6 +134,9 @@
 	for _, id := range n.Lost {
 		x.Directory.Lost(id)
 	}
+	for _, s := range n.Crash {
+		x.Poison.Merge(s)
+	}
 	if n.Hello {
 		x.answer(n.From)
 	}
@@ -205,6 +211,11 @@
 	x.lost = append(x.lost, id)
 }
 
+// Suspect tells of a request under which a server crashed.
+func (x *Exchange) Suspect(s rwpoison.Suspicion) {
+	x.spread(x.signed(Notice{Crash: []rwpoison.Suspicion{s}}))
+}
+
 func (x *Exchange) gatherLocked() {
 	if len(x.runs)+len(x.lost) == 0 {
 		time.AfterFunc(gatherTime, x.flush)
