--- /dev/null
+++ b/cmd/rwsoak/main.go
@@ -0,0 +1,80 @@
+// Command rwsoak hurts real instances against stand-ins and checks from outside
+// that every promise holds.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"ragwortwall/internal/rwsoak"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Program   string        `long:"program" default:"bin/rwentry" description:"program of an instance"`
+	Logs      string        `long:"logs" default:"out/soak" description:"folder for logs and reports"`
+	Seed      uint64        `long:"seed" description:"first seed; the time of day if zero"`
+	Seeds     int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Length    time.Duration `long:"length" default:"15s" description:"how long faults come"`
+	Instances int           `long:"instances" default:"6" description:"number of instances"`
+	Models    int           `long:"models" default:"4" description:"model servers in each zone"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().UnixMilli())
+	}
+	failed := 0
+	for n := range uint64(o.Seeds) {
+		if ctx.Err() != nil {
+			break
+		}
+		if !o.one(ctx, o.Seed+n) {
+			failed++
+		}
+	}
+	fmt.Printf("soak: %d passed, %d failed\n", o.Seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// one runs a seed and reports whether all promises were kept.
+func (o options) one(ctx context.Context, seed uint64) bool {
+	folder := filepath.Join(o.Logs, fmt.Sprint(seed))
+	soak := &rwsoak.Soak{Program: o.Program, Logs: folder, Seed: seed, Length: o.Length, Instances: o.Instances, Models: o.Models}
+	report, err := soak.Run(ctx)
+	if err != nil {
+		report.Broken = append(report.Broken, err.Error())
+	}
+	content, err := json.MarshalIndent(report, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, "report.json"), append(content, '\n'), 0o600)
+	}
+	if err != nil {
+		report.Broken = append(report.Broken, err.Error())
+	}
+	fmt.Printf("seed %d: %d faults, %d streams (%d unfinished, longest pause %.2f s), %d of %d orders done, %d promises broken\n",
+		seed, len(report.Faults), report.Streams, report.Unfinished, report.Pause, report.Done, report.Orders, len(report.Broken))
+	for _, b := range report.Broken {
+		fmt.Println("  " + b)
+	}
+	if len(report.Broken) == 0 {
+		_ = os.RemoveAll(folder)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rwsoak/faults.go
@@ -0,0 +1,196 @@
+package rwsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"ragwortwall/platform/standin"
+)
+
+// fault is a kind of fault: it begins, and returns how it ends.
+type fault struct {
+	name  string
+	begin func(s *Soak, at int) func()
+}
+
+// faults are all kinds of fault. at picks what is hurt.
+var faults = []fault{
+	{"kill", func(s *Soak, at int) func() {
+		i := s.instances[at%len(s.instances)]
+		i.end(syscall.SIGKILL, time.Second)
+		return func() { s.again(i) }
+	}},
+	{"pause", func(s *Soak, at int) func() {
+		i := s.instances[at%len(s.instances)]
+		i.signal(syscall.SIGSTOP)
+		return func() { i.signal(syscall.SIGCONT) }
+	}},
+	{"stop", func(s *Soak, at int) func() {
+		i := s.instances[at%len(s.instances)]
+		return func() {
+			i.signal(syscall.SIGCONT)
+			i.end(syscall.SIGTERM, stopGrace)
+			s.again(i)
+		}
+	}},
+	{"crash", func(s *Soak, at int) func() { return s.restart(&s.models, at) }},
+	{"order-crash", func(s *Soak, at int) func() { return s.restart(&s.orders, at) }},
+	{"zone-crash", func(s *Soak, at int) func() {
+		var ends []func()
+		for n := at % zones; n < len(s.models.Servers); n += zones {
+			ends = append(ends, s.restart(&s.models, n))
+		}
+		return all(ends)
+	}},
+	{"mute", func(s *Soak, at int) func() {
+		server := s.models.At(at)
+		server.Mute(true)
+		return func() { server.Mute(false) }
+	}},
+	{"leave", func(s *Soak, at int) func() {
+		s.models.At(at).Leave()
+		return s.restartLater(&s.models, at)
+	}},
+	{"store-down", func(s *Soak, _ int) func() {
+		s.store.Down(true)
+		return func() { s.store.Down(false) }
+	}},
+	{"store-slow", func(s *Soak, _ int) func() {
+		s.store.Slow(storeSlow)
+		return func() { s.store.Slow(0) }
+	}},
+	{"store-compact", func(s *Soak, _ int) func() {
+		s.store.Compact()
+		return func() {}
+	}},
+	{"link-delay", link(ModeDelay)},
+	{"link-reset", link(ModeReset)},
+	{"link-one-way", link(ModeOneWay)},
+	{"link-silent", link(ModeSilent)},
+}
+
+// storeSlow is the answer time of a slow store, as on the users' slow days.
+const storeSlow = 230 * time.Millisecond
+
+func link(mode Mode) func(*Soak, int) func() {
+	return func(s *Soak, at int) func() {
+		l := s.instances[at%len(s.instances)].link
+		l.Set(mode)
+		return func() { l.Set(ModeSound) }
+	}
+}
+
+func all(ends []func()) func() {
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+func (s *Soak) again(i *instance) {
+	if err := i.start(); err != nil {
+		s.broken("%s does not start again: %v", i.Name, err)
+	}
+}
+
+func (s *Soak) restart(g *standin.Group, at int) func() {
+	start := g.Restart(at)
+	return func() {
+		if err := start(); err != nil {
+			s.broken("a stand-in does not start again: %v", err)
+		}
+	}
+}
+
+func (s *Soak) restartLater(g *standin.Group, at int) func() {
+	return func() { s.restart(g, at)() }
+}
+
+// Lengths of faults.
+const (
+	faultLeast = 800 * time.Millisecond
+	faultMost  = 3500 * time.Millisecond
+	keyWhen    = 0.3 // part of the run after which the second key is taken away
+)
+
+// blow is one fault of a schedule.
+type blow struct {
+	at, length time.Duration
+	kind       int
+	on         int
+}
+
+// schedule returns the faults of a seed. Faults overlap, but for those of the
+// same process or server, so that each has its own end.
+func schedule(random *rand.Rand, length time.Duration) []blow {
+	var blows []blow
+	for at := time.Duration(0); at < length; {
+		at += time.Duration(float64(faultsEvery) * (0.3 + random.ExpFloat64()))
+		blows = append(blows, blow{
+			at: at, length: faultLeast + time.Duration(random.Int64N(int64(faultMost-faultLeast))),
+			kind: random.IntN(len(faults)), on: random.IntN(1 << 16),
+		})
+	}
+	return blows
+}
+
+// harm plays the schedule and waits until all faults have ended.
+func (s *Soak) harm(ctx context.Context) {
+	began := time.Now()
+	var work sync.WaitGroup
+	busy := map[string]bool{}
+	var mu sync.Mutex
+	key := time.AfterFunc(time.Duration(keyWhen*float64(s.Length)), func() {
+		s.store.Configure(standin.Version{Number: 2, Keys: []string{standin.Key}})
+		s.revoked.Store(time.Now().UnixMilli())
+	})
+	defer key.Stop()
+	for _, b := range schedule(s.random(), s.Length) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(b.at - time.Since(began)):
+		}
+		target := b.target(s)
+		mu.Lock()
+		taken := busy[target]
+		busy[target] = true
+		mu.Unlock()
+		if taken || ctx.Err() != nil {
+			continue
+		}
+		kind := faults[b.kind]
+		s.mu.Lock()
+		s.report.Faults = append(s.report.Faults, fmt.Sprintf("%.1f %s %s %.1f", b.at.Seconds(), kind.name, target, b.length.Seconds()))
+		s.mu.Unlock()
+		end := kind.begin(s, b.on)
+		work.Go(func() {
+			time.Sleep(b.length)
+			end()
+			mu.Lock()
+			defer mu.Unlock()
+			delete(busy, target)
+		})
+	}
+	work.Wait()
+}
+
+// target names what a fault hurts: two faults of one target do not overlap.
+func (b blow) target(s *Soak) string {
+	switch faults[b.kind].name {
+	case "kill", "pause", "stop":
+		return "process " + s.instances[b.on%len(s.instances)].Name
+	case "crash", "zone-crash", "mute", "leave":
+		return "models"
+	case "order-crash":
+		return "orders"
+	case "store-down", "store-slow", "store-compact":
+		return "store"
+	default:
+		return "link " + s.instances[b.on%len(s.instances)].Name
+	}
+}
