--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -234,7 +234,9 @@
 	if !ok || part == "" {
 		return Run{}, false
 	}
-	return *r, true
+	run := *r
+	run.Begun = r.hasBegun(time.Now(), d.readRate)
+	return run, true
 }
 
 // Forget ends all runs of an instance that is gone: its copies stay.
--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -26,7 +26,8 @@
 // hasBegun reports whether the prompt is read and a copy of the run exists: it is
 // known, or so much time has passed.
 func (r *Run) hasBegun(now time.Time, rate float64) bool {
-	return r.Begun || !r.placed.IsZero() && now.Sub(r.placed) > beginSlack && r.unread(now, rate) == 0
+	reading := time.Duration(float64(r.Read) / max(1, rate) * float64(time.Second))
+	return r.Begun || !r.placed.IsZero() && now.Sub(r.placed) > reading+beginSlack
 }
 
 // beginSlack is what a run needs to begin besides the reading of its prompt: the
--- /dev/null
+++ b/internal/rwpick/pick_test.go
@@ -0,0 +1,139 @@
+package rwpick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwpick"
+
+	"github.com/stretchr/testify/require"
+)
+
+func untried(string) bool { return false }
+
+// fleet is servers in three zones, one after the other.
+func fleet(n int) []rwbackend.View {
+	views := make([]rwbackend.View, n)
+	for i := range views {
+		views[i].ID, views[i].Zone, views[i].Slots = fmt.Sprint(i), fmt.Sprint(i%3), 6
+	}
+	return views
+}
+
+var engine = rwpick.EngineSize{Slots: 12, Memory: 55000}
+
+var need = rwpick.Need{Prompt: 5000, Output: 1200, Read: 5000}
+
+func TestPlain(t *testing.T) {
+	t.Run("least loaded", func(t *testing.T) {
+		servers := fleet(3)
+		servers[0].Plain, servers[1].Others, servers[2].Plain = 4, 5, 1
+		s, ok := rwpick.Plain(servers, "0", untried)
+		require.True(t, ok)
+		require.Equal(t, "2", s.ID)
+	})
+	t.Run("suspects last, but used", func(t *testing.T) {
+		servers := fleet(2)
+		servers[0].Suspect, servers[1].Plain = true, 20
+		s, _ := rwpick.Plain(servers, "0", untried)
+		require.Equal(t, "1", s.ID)
+		s, ok := rwpick.Plain(servers, "0", func(id string) bool { return id == "1" })
+		require.True(t, ok)
+		require.Equal(t, "0", s.ID)
+	})
+	t.Run("none left", func(t *testing.T) {
+		_, ok := rwpick.Plain(fleet(2), "0", func(string) bool { return true })
+		require.False(t, ok)
+	})
+}
+
+// TestPlainGrey answers the load of a server that fails part of its requests
+// while its health is good: it gets little, and what all servers fail is not
+// held against any.
+func TestPlainGrey(t *testing.T) {
+	share := func(failures [3]float64) float64 {
+		count := 0
+		const requests = 2000
+		for range requests {
+			servers := fleet(3)
+			for i := range servers {
+				servers[i].Failures, servers[i].Zone = failures[i], "0"
+			}
+			if s, _ := rwpick.Plain(servers, "0", untried); s.ID == "0" {
+				count++
+			}
+		}
+		return float64(count) / requests
+	}
+	require.Less(t, share([3]float64{0.5, 0.1, 0.1}), 0.02)
+	require.InDelta(t, 1.0/3, share([3]float64{0.4, 0.4, 0.4}), 0.06)
+}
+
+func TestStream(t *testing.T) {
+	t.Run("copy in another zone", func(t *testing.T) {
+		for range 100 {
+			p, ok := rwpick.Stream(fleet(12), engine, need, untried)
+			require.True(t, ok)
+			require.True(t, p.Copied)
+			require.NotEqual(t, p.Server.Zone, p.Copy.Zone)
+		}
+	})
+	t.Run("no room", func(t *testing.T) {
+		servers := fleet(3)
+		for i := range servers {
+			servers[i].Committed = engine.Memory - need.Prompt
+		}
+		_, ok := rwpick.Stream(servers, engine, need, untried)
+		require.False(t, ok, "nothing is admitted that would push out what runs")
+	})
+	t.Run("soonest read", func(t *testing.T) {
+		servers := fleet(4)
+		for i := range servers {
+			servers[i].Backlog = 5000
+		}
+		servers[3].Backlog, servers[3].Runs = 0, 2
+		p, _ := rwpick.Stream(servers, engine, need, untried)
+		require.Equal(t, "3", p.Server.ID)
+	})
+	t.Run("no suspect holds a copy", func(t *testing.T) {
+		servers := fleet(2)
+		servers[1].Suspect = true
+		p, ok := rwpick.Stream(servers, engine, need, func(id string) bool { return id == "1" })
+		require.True(t, ok)
+		require.False(t, p.Copied)
+	})
+}
+
+// TestStreamZoneLoss answers the load of a lost zone: all instances place its
+// streams in the same instant, by the same view. They must not all take the
+// server that looks emptiest.
+func TestStreamZoneLoss(t *testing.T) {
+	const instances = 30
+	servers := fleet(24)
+	for i := range servers {
+		servers[i].Runs, servers[i].Committed = 2, 20000
+	}
+	servers[7].Runs, servers[7].Committed = 0, 0
+	taken := map[string]int{}
+	for range instances {
+		p, ok := rwpick.Stream(servers, engine, need, untried)
+		require.True(t, ok)
+		taken[p.Server.ID]++
+	}
+	require.LessOrEqual(t, taken["7"], instances/2)
+	require.GreaterOrEqual(t, len(taken), instances/4)
+}
+
+func TestHopeless(t *testing.T) {
+	const token = 4 * time.Millisecond
+	require.True(t, rwpick.Hopeless(2*time.Second, time.Second, token, 1200))
+	require.False(t, rwpick.Hopeless(20*time.Second, time.Second, token, 1200))
+}
+
+func TestHedgeAfter(t *testing.T) {
+	require.Equal(t, 240*time.Millisecond, rwpick.HedgeAfter(60*time.Millisecond, 300*time.Millisecond))
+	require.Equal(t, 200*time.Millisecond, rwpick.HedgeAfter(0, 300*time.Millisecond))
+	require.GreaterOrEqual(t, rwpick.HedgeAfter(time.Millisecond, time.Second), 100*time.Millisecond)
+}
--- /dev/null
+++ b/internal/rwrelay/relay_test.go
@@ -0,0 +1,123 @@
+package rwrelay_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ragwortwall/internal/rwrelay"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", id, id*id) }
+
+func TestEvents(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		e := rwrelay.NewEvents(strings.NewReader("versions: 3\n" + event(1) + "\n" + event(2)))
+		first, err := e.Next()
+		require.NoError(t, err)
+		require.Equal(t, "versions: 3\n"+event(1), string(first.Raw))
+		second, err := e.Next()
+		require.NoError(t, err)
+		require.Equal(t, int64(2), second.ID)
+		_, err = e.Next()
+		require.ErrorIs(t, err, io.EOF)
+	})
+	t.Run("torn", func(t *testing.T) {
+		e := rwrelay.NewEvents(strings.NewReader(event(1) + "id: 2\ndata: 4\n"))
+		_, err := e.Next()
+		require.NoError(t, err)
+		_, err = e.Next()
+		require.ErrorIs(t, err, rwrelay.ErrTorn)
+	})
+	t.Run("long line", func(t *testing.T) {
+		long := "id: 1\ndata: " + strings.Repeat("x", 5000) + "\n\n"
+		got, err := rwrelay.NewEvents(strings.NewReader(long)).Next()
+		require.NoError(t, err)
+		require.Equal(t, long, string(got.Raw))
+	})
+}
+
+// TestOrderOverLosses: whatever servers send after losses, callers get each event
+// once and in order.
+func TestOrderOverLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		order := rwrelay.NewOrder(0, false)
+		next := int64(1)
+		for range rapid.IntRange(1, 6).Draw(t, "attempts") {
+			from := rapid.Int64Range(max(1, next-3), next+2).Draw(t, "from")
+			for id := from; id < from+rapid.Int64Range(0, 8).Draw(t, "events"); id++ {
+				verdict := order.Judge(rwrelay.Event{ID: id, HasID: true})
+				if verdict == rwrelay.VerdictGap {
+					break
+				}
+				if verdict == rwrelay.VerdictPass && next > 1 {
+					require.Equal(t, next, id)
+				}
+				if verdict == rwrelay.VerdictPass {
+					next = id + 1
+				}
+			}
+		}
+	})
+}
+
+func TestOrderResumed(t *testing.T) {
+	order := rwrelay.NewOrder(5, true)
+	require.Equal(t, rwrelay.VerdictDrop, order.Judge(rwrelay.Event{ID: 5, HasID: true}))
+	require.Equal(t, rwrelay.VerdictGap, order.Judge(rwrelay.Event{ID: 7, HasID: true}))
+	require.Equal(t, rwrelay.VerdictPass, order.Judge(rwrelay.Event{ID: 6, HasID: true}))
+	last, ok := order.Last()
+	require.True(t, ok)
+	require.Equal(t, int64(6), last)
+}
+
+// pace plays events at a gap.
+func pace(gap time.Duration) *rwrelay.Pace {
+	p := rwrelay.NewPace(time.Second, 700*time.Millisecond)
+	for range 20 {
+		time.Sleep(gap)
+		p.Event()
+	}
+	return p
+}
+
+func TestSilence(t *testing.T) {
+	for name, check := range map[string]func(*testing.T){
+		"a fast stream is probed soon": func(t *testing.T) {
+			p := pace(35 * time.Millisecond)
+			step, wait := p.Judge(50 * time.Millisecond)
+			require.Equal(t, rwrelay.StepWait, step)
+			require.Equal(t, 70*time.Millisecond, wait)
+			step, _ = p.Judge(130 * time.Millisecond)
+			require.Equal(t, rwrelay.StepProbe, step)
+		},
+		// Eight tokens an event, each after a chunk of another's prompt.
+		"beside a prompt of another, pauses are no loss": func(t *testing.T) {
+			p := pace(230 * time.Millisecond)
+			step, _ := p.Judge(235 * time.Millisecond)
+			require.Equal(t, rwrelay.StepWait, step)
+			step, _ = p.Judge(400 * time.Millisecond)
+			require.Equal(t, rwrelay.StepProbe, step)
+		},
+		"a server that is there and sends nothing is given up within the pause": func(t *testing.T) {
+			p := pace(230 * time.Millisecond)
+			step, _ := p.Judge(570 * time.Millisecond)
+			require.Equal(t, rwrelay.StepHung, step)
+		},
+		"before the first event the prompts before it count": func(t *testing.T) {
+			p := rwrelay.NewPace(2*time.Second, 0)
+			step, _ := p.Judge(3 * time.Second)
+			require.Equal(t, rwrelay.StepProbe, step)
+			step, _ = p.Judge(7 * time.Second)
+			require.Equal(t, rwrelay.StepHung, step)
+		},
+	} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, check) })
+	}
+}
--- /dev/null
+++ b/internal/rwroute/table_test.go
@@ -0,0 +1,52 @@
+package rwroute_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"ragwortwall/internal/rwroute"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleTable_Match() {
+	t := rwroute.New(rwroute.Parts{Routes: []rwroute.Route{
+		{Name: "all", Host: "signs.example", Prefix: "/"},
+		{Name: "drafts", Host: "signs.example", Prefix: "/drafts/"},
+	}})
+	route, _ := t.Match("Signs.Example", "/drafts/7")
+	fmt.Println(route.Name)
+	// Output: drafts
+}
+
+func TestMatchNone(t *testing.T) {
+	table := rwroute.New(rwroute.Parts{Routes: []rwroute.Route{{Host: "a", Prefix: "/x/"}}})
+	for _, path := range []string{"/", "/x", "/xy/", "/y/x/"} {
+		_, ok := table.Match("a", path)
+		require.False(t, ok, path)
+	}
+	_, ok := table.Match("b", "/x/1")
+	require.False(t, ok)
+}
+
+// TestService: a split is the same wherever it is asked, and keeps its shares.
+func TestService(t *testing.T) {
+	route := rwroute.Route{Targets: []rwroute.Target{{Service: "old", Weight: 900}, {Service: "new", Weight: 100}}}
+	counts := map[string]int{}
+	const requests = 20000
+	for n := range requests {
+		id := strconv.Itoa(n)
+		require.Equal(t, route.Service(id), route.Service(id))
+		counts[route.Service(id)]++
+	}
+	require.InDelta(t, 0.1, float64(counts["new"])/requests, 0.01)
+	require.Empty(t, rwroute.Route{}.Service("1"))
+}
+
+func TestRepeatable(t *testing.T) {
+	require.False(t, rwroute.Route{Kind: rwroute.KindOnce}.Repeatable())
+	require.False(t, rwroute.Route{Kind: rwroute.KindStream}.Repeatable())
+	require.True(t, rwroute.Route{Kind: rwroute.KindStream, Resumable: true}.Repeatable())
+	require.True(t, rwroute.Route{Kind: rwroute.KindIdempotent}.Repeatable())
+}
--- a/internal/rwsoak/process.go
+++ b/internal/rwsoak/process.go
@@ -1,7 +1,7 @@
 package rwsoak
 
 import (
-	"net"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,31 +27,21 @@
 	cmd *exec.Cmd
 }
 
-func newInstance(name, zone, program, folder, store string) (*instance, error) {
+// newInstance returns the n-th instance. It has an IP number of its own on
+// loopback, from the id of this process, so that soaks which run side by side do
+// not take each other's ports.
+func newInstance(n int, program, folder, store string) (*instance, error) {
 	link, err := NewProxy(store)
 	if err != nil {
 		return nil, err
 	}
 	i := &instance{program: program, folder: folder, link: link}
-	i.Name, i.Zone, i.Store = name, zone, link.Address
-	for _, address := range []*string{&i.Callers, &i.Ready, &i.Control, &i.Datagrams} {
-		if *address, err = freeAddress(); err != nil {
-			return nil, err
-		}
-	}
+	i.Name, i.Zone, i.Store = fmt.Sprintf("entry-%d", n), standin.Zone(n%zones), link.Address
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%250, os.Getpid()%256, 1+n%250)
+	i.Callers, i.Ready, i.Control, i.Datagrams = ip+":8740", ip+":8749", ip+":8748", ip+":7200"
 	return i, nil
 }
 
-// freeAddress returns an address that nobody listens at now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // start starts the process, with its log in the folder.
 func (i *instance) start() error {
 	file := filepath.Join(i.folder, i.Name+".json")
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -127,7 +127,7 @@
 func (s *Soak) startInstances(store string) error {
 	var seeds []string
 	for n := range s.Instances {
-		i, err := newInstance(fmt.Sprintf("entry-%d", n), standin.Zone(n%zones), s.Program, s.Logs, store)
+		i, err := newInstance(n, s.Program, s.Logs, store)
 		if err != nil {
 			return err
 		}
