--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -273,10 +273,13 @@
 // recover checks that callers are served once all faults have ended.
 func (s *Soak) recover(ctx context.Context) {
 	until := time.Now().Add(settleTime)
-	for !s.allReady() && time.Now().Before(until) {
+	for ctx.Err() == nil && !s.allReady() && time.Now().Before(until) {
 		time.Sleep(standin.Again)
 	}
 	c := standin.NewCaller(standin.Key, s.address)
+	if ctx.Err() != nil {
+		return
+	}
 	served := 0
 	for n := range 2 * len(s.instances) {
 		if s.oneStream(ctx, c, fmt.Sprintf("eeee%04x", n)) && s.oneOrder(ctx, c) {
