--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -122,7 +122,11 @@
 			"none of %d model servers has memory for %d tokens", len(servers), need.Prompt+need.Output).WithRetryAfter(retryLater / 2)
 	}
 	first := rwpick.FirstBy(place.Server, need, s.f.Directory.ReadRate())
-	if !s.begun && rwpick.Hopeless(s.left(), first, s.f.Directory.TokenTime(), need.Output) {
+	output := need.Output
+	if s.ask.Resumed {
+		output = 0 // how much is still to come is not known
+	}
+	if !s.begun && rwpick.Hopeless(s.left(), first, s.f.Directory.TokenTime(), output) {
 		return next{}, s.hopeless(first)
 	}
 	return next{server: place.Server, place: place, read: need.Read}, nil
