--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -29,6 +29,9 @@
 	// storeAfter is how long a follower waits for its peers before it watches the
 	// store itself.
 	storeAfter = 900 * time.Millisecond
+	// storeFirst is the same for an instance that has just started and knows of
+	// no settings at all: its seeds may be gone, and callers are waiting.
+	storeFirst = 200 * time.Millisecond
 	// turnEach is the pause between two calls of the fleet to a store that does
 	// not answer, made by instances that are no watchers: together they ask no
 	// more often than a watcher does.
@@ -111,6 +114,9 @@
 		f.turnAt = time.Time{}
 		return false
 	}
+	if f.settings.Table() == nil {
+		return time.Since(f.started) > storeFirst
+	}
 	if time.Since(f.started) < storeAfter {
 		return false
 	}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -12,6 +12,7 @@
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
+	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -29,6 +30,10 @@
 	// repeatShare is the part of first tries that one instance adds in repeats:
 	// under the users' bound for the fleet.
 	repeatShare = 0.6
+	// settleTime bounds the wait for the first settings after a start: several
+	// calls to the store.
+	settleTime = 400 * time.Millisecond
+	settleTick = 10 * time.Millisecond
 	// retrySoon is told to callers who may come back at once to another instance.
 	retrySoon = 100 * time.Millisecond
 	// retryLater is told where the settings or servers must come back first.
@@ -109,10 +114,10 @@
 
 // admit finds the route and the organisation.
 func (c *call) admit() error {
-	state := c.state
-	if state.Table == nil {
-		return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After", "the settings are not known yet").WithRetryAfter(retryLater)
+	if !c.settled() {
+		return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After", "the settings are not known yet").WithRetryAfter(2 * retrySoon)
 	}
+	state := c.state
 	target := c.target()
 	path, _, _ := strings.Cut(target, "?")
 	route, ok := state.Table.Match(c.r.Host, path)
@@ -150,6 +155,15 @@
 	return nil
 }
 
+// settled waits a moment for the settings of an instance that has just started:
+// they come sooner than a caller that is sent away.
+func (c *call) settled() bool {
+	for c.state.Table == nil && time.Since(c.began) < settleTime && rwtime.Sleep(c.r.Context(), settleTick) {
+		c.state = c.f.State()
+	}
+	return c.state.Table != nil
+}
+
 // unless returns a final error, but a passing one when this instance's settings
 // may be behind.
 func (c *call) unless(final *rwerror.Error) error {
