Servers that turn requests away are avoided for longer each time

Conclusion: kept for the test of a shedding server; admission by the answer time of the last server left is open.

--- a/internal/rwbackend/directory_test.go
+++ b/internal/rwbackend/directory_test.go
@@ -143,3 +143,29 @@
 		require.Zero(t, view(t, d, "s0").Others, "what was told grows old")
 	})
 }
+
+// TestShedding answers the load of a server that turns away all it gets while its
+// health is good: it looks idle, and must not draw the requests for that.
+func TestShedding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := directory("a", "a")
+		const requests = 200
+		refused := 0
+		for range requests {
+			servers := d.Service("model")
+			s := servers[0]
+			for _, other := range servers {
+				if s.Suspect && !other.Suspect {
+					s = other
+				}
+			}
+			if s.ID == "s0" {
+				refused++
+				d.Refused("s0", rwbackend.Load{Slots: 12})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Less(t, refused, requests/10)
+		require.Greater(t, view(t, d, "s0").Failures, 0.3)
+	})
+}
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return
 	}
-	s.strikes = 0
+	s.strikes, s.refusals = 0, 0
 	s.suspect = time.Time{}
 	s.observeLocked(failed)
 	if took > 0 {
@@ -148,6 +148,35 @@
 	alarmTime = 500 * time.Millisecond
 )
 
+// Refused notes that a server said that it did not run a request, as if it were
+// full. It is avoided for a moment, longer with each refusal in a row: a server
+// that turns away what others would take looks idle.
+func (d *Directory) Refused(id string, load Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	if !ok {
+		return
+	}
+	s.observeLocked(true)
+	s.refusals++
+	until := time.Now().Add(min(refusalMost, refusalTime<<min(refusalShift, s.refusals-1)))
+	if s.suspect.Before(until) {
+		s.suspect = until
+	}
+	if load.Slots > 0 {
+		s.load, s.loadAt = load, time.Now()
+	}
+}
+
+const (
+	// refusalTime is about the work of one plain request, refusalMost that of a
+	// server's start.
+	refusalTime  = 50 * time.Millisecond
+	refusalMost  = 2 * time.Second
+	refusalShift = 6
+)
+
 // Avoid keeps new work from a server for a time, as it said it is full.
 func (d *Directory) Avoid(id string, wait time.Duration) {
 	d.mu.Lock()
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -32,6 +32,7 @@
 	failures  float64 // moving average of failed answers, 0 to 1
 	latency   float64 // moving average of the time to an answer, in seconds
 	suspect   time.Time
+	refusals  int       // in a row
 	strikes   int       // losses in a row
 	lostAt    time.Time // of the last loss
 	alarmedAt time.Time // when it was last looked at for the loss of others
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -190,9 +190,8 @@
 		if a.status == http.StatusMisdirectedRequest {
 			c.f.Directory.Avoid(server, avoidMisdirected)
 		} else {
-			c.f.Directory.Avoid(server, avoidFull)
+			c.f.Directory.Refused(server, a.reply.Load)
 		}
-		c.f.Directory.Answered(server, false, 0, a.reply.Load)
 		c.note("not run", server, nil)
 		return a, fateNotRun, nil
 	}
@@ -206,9 +205,6 @@
 }
 
 const (
-	// avoidFull keeps new requests from a server that was full: about the work
-	// of one request.
-	avoidFull = 50 * time.Millisecond
 	// avoidMisdirected is how long an address that answers for another server is
 	// avoided: until its entry is gone from the store.
 	avoidMisdirected = 3 * time.Second
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -253,9 +253,11 @@
 	defer response.Body.Close()
 	reply := s.f.Wire.Reply(response.StatusCode, response.Header)
 	if reply.NotRun {
-		s.f.Directory.Answered(n.server.ID, false, 0, rwbackend.Load{})
-		if n.from == "" {
-			s.f.Directory.Avoid(n.server.ID, avoidFull)
+		switch {
+		case response.StatusCode == http.StatusMisdirectedRequest:
+			s.f.Directory.Avoid(n.server.ID, avoidMisdirected)
+		case n.from == "":
+			s.f.Directory.Refused(n.server.ID, reply.Load)
 		}
 		s.note("not run", n.server.ID, errors.Errorf("status %d", response.StatusCode))
 		s.notRun(n)
