--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -32,6 +32,13 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
+	if !o.all() {
+		os.Exit(1)
+	}
+}
+
+// all runs all seeds and reports whether all promises were kept.
+func (o options) all() bool {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if o.Seed == 0 {
@@ -47,9 +54,7 @@
 		}
 	}
 	fmt.Printf("soak: %d passed, %d failed\n", o.Seeds-failed, failed)
-	if failed > 0 {
-		os.Exit(1)
-	}
+	return failed == 0
 }
 
 // one runs a seed and reports whether all promises were kept.
--- a/internal/rwmove/evidence.go
+++ b/internal/rwevidence/evidence.go
@@ -1,4 +1,8 @@
-package rwmove
+// Package rwevidence judges a new version of backend servers against the old one
+// by what requests saw of both: a sequential test of failures and of times under
+// like load. It is pure; package rwmove moves the product's own routes by it, and
+// package rwversion the services of a platform.
+package rwevidence
 
 import (
 	"math"
@@ -18,11 +22,12 @@
 	failFactor = 3     // a bad version fails this many times as often as the old one
 	failAdded  = 0.05  // and at least this much more
 
-	slowFactor   = 1.3  // a bad version is slower by this factor
-	spreadLeast  = 0.10 // standard deviation granted to the logarithm of times
-	baseSamples  = 8    // of the old version before times are compared
-	newSamples   = 8    // of the new version before times are compared
-	loadBins     = 4    // times are compared under like load
+	slowFactor = 1.3 // a bad version is slower by this factor
+	// SpreadLeast is the standard deviation granted to the logarithm of times.
+	SpreadLeast  = 0.10
+	baseSamples  = 8 // of the old version before times are compared
+	newSamples   = 8 // of the new version before times are compared
+	loadBins     = 4 // times are compared under like load
 	secondsFloor = 1e-6
 )
 
@@ -51,9 +56,9 @@
 
 func (t Times) variance() float64 {
 	if t.Count < 2 {
-		return spreadLeast * spreadLeast
+		return SpreadLeast * SpreadLeast
 	}
-	return max(spreadLeast*spreadLeast, t.Square/t.Count-t.mean()*t.mean())
+	return max(SpreadLeast*SpreadLeast, t.Square/t.Count-t.mean()*t.mean())
 }
 
 // Evidence is what was seen of one version on one route.
@@ -104,7 +109,7 @@
 // bad, or nothing.
 func Judge(before, after Evidence) string {
 	switch {
-	case failureOdds(before, after) > badOdds:
+	case FailureOdds(before, after) > badOdds:
 		return "it fails more often than the old version"
 	case slownessOdds(before.Token, after.Token) > badOdds:
 		return "its tokens come slower than the old version's"
@@ -114,9 +119,9 @@
 	return ""
 }
 
-// failureOdds is the log-likelihood ratio of a bad version over one that fails
+// FailureOdds is the log-likelihood ratio of a bad version over one that fails
 // as the old one does.
-func failureOdds(before, after Evidence) float64 {
+func FailureOdds(before, after Evidence) float64 {
 	good := max(failLeast, (before.Failed+failLeast)/(before.Runs+1))
 	good = min(good, 0.5)
 	bad := min(0.98, max(failFactor*good, good+failAdded))
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -38,7 +38,7 @@
 }
 
 // placed begins to look after an attempt.
-func (k *keeper) placed(s *stream, n next) {
+func (k *keeper) placed(n next) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.source, k.target = n.server.Entry, rwbackend.Entry{}
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -29,7 +29,6 @@
 	lastAt  time.Time     // of the last event
 	pause   time.Duration // the longest between two events, whoever sent them
 	last    error
-	resumes int
 }
 
 // The causes for which a server is given up.
@@ -236,7 +235,7 @@
 		s.f.Notify(old)
 	}
 	s.f.Notify(s.run)
-	s.keeper.placed(s, n)
+	s.keeper.placed(n)
 	s.f.Log.Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
 		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "sent", s.sent)
 }
@@ -274,7 +273,8 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return true, s.finish(n, reply)
+			s.finish(n, reply)
+			return true, nil
 		}
 		if err != nil {
 			return false, s.broke(n, err)
@@ -305,13 +305,11 @@
 func (s *stream) patience(pace *rwrelay.Pace, address string) rwlink.Patience {
 	return func(silent time.Duration) (time.Duration, error) {
 		step, wait := pace.Judge(silent)
-		switch step {
-		case rwrelay.StepHung:
+		if step == rwrelay.StepHung {
 			return 0, errHung
-		case rwrelay.StepProbe:
-			if s.f.Probe.Ask(address, pace.ProbeSince(silent)) == rwlink.FindingLost {
-				return 0, errGone
-			}
+		}
+		if step == rwrelay.StepProbe && s.f.Probe.Ask(address, pace.ProbeSince(silent)) == rwlink.FindingLost {
+			return 0, errGone
 		}
 		return wait, nil
 	}
@@ -372,6 +370,7 @@
 // pass hands on an event that the caller does not have.
 func (s *stream) pass(event rwrelay.Event) error {
 	switch s.order.Judge(event) {
+	case rwrelay.VerdictPass:
 	case rwrelay.VerdictDrop:
 		return nil
 	case rwrelay.VerdictGap:
@@ -398,7 +397,7 @@
 }
 
 // finish notes that the stream has come to its end.
-func (s *stream) finish(n next, reply Reply) error {
+func (s *stream) finish(n next, reply Reply) {
 	s.f.Directory.Answered(n.server.ID, false, 0, reply.Load)
 	if s.sent == 1 && s.ask.Output > 0 {
 		s.f.Directory.MeasureToken(s.ask.Output, time.Since(s.firstAt))
@@ -406,7 +405,6 @@
 	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
 	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent,
 		"first", s.firstAt.Sub(s.call.began).Seconds(), "pause", s.pause.Seconds(), "took", time.Since(s.call.began).Seconds())
-	return nil
 }
 
 // ended tells peers that this instance no longer relays the stream.
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -62,7 +62,7 @@
 		return true, true
 	}
 	var timedOut net.Error
-	return false, !(errors.As(err, &timedOut) && timedOut.Timeout())
+	return false, !errors.As(err, &timedOut) || !timedOut.Timeout()
 }
 
 // Read reads from the server, asking the patience while nothing comes. Time in
--- a/internal/rwmove/decider.go
+++ b/internal/rwmove/decider.go
@@ -9,6 +9,7 @@
 
 	"ragwortwall/internal/rwengine"
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwmember"
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwoperate"
@@ -199,13 +200,13 @@
 	d.Log.Info("step of a move", "route", move.Route, "phase", string(next.Phase), "share", next.Share, "reason", next.Reason)
 }
 
-func (d *Decider) bad(move rwtree.Move, before, after Evidence) string {
+func (d *Decider) bad(move rwtree.Move, before, after rwevidence.Evidence) string {
 	for _, v := range d.Mover.Verdicts() {
 		if v.Move == rwtree.MoveName(move.Route) {
 			return v.Reason
 		}
 	}
-	return Judge(before, after)
+	return rwevidence.Judge(before, after)
 }
 
 func (d *Decider) soaked(move rwtree.Move) time.Duration {
--- a/internal/rwmove/mover.go
+++ b/internal/rwmove/mover.go
@@ -9,6 +9,7 @@
 
 	"ragwortwall/internal/rwcursor"
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwgeneration"
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwoperate"
@@ -49,8 +50,8 @@
 	Log    logr.Logger
 
 	mu       sync.Mutex
-	own      map[Key]Evidence
-	peers    map[peer]map[Key]Evidence
+	own      map[Key]rwevidence.Evidence
+	peers    map[peer]map[Key]rwevidence.Evidence
 	verdicts map[string]Verdict     // by the move's object
 	pins     map[string]map[Key]int // generations pinned to versions, by instance
 }
@@ -115,11 +116,11 @@
 	if !ok || !move.Active() || s.Version != move.From && s.Version != move.To || !s.Failed && s.Tokens == 0 {
 		return
 	}
-	seen := Seen{Failed: s.Failed, First: s.First, Token: s.Token, Load: s.Load}
+	seen := rwevidence.Seen{Failed: s.Failed, First: s.First, Token: s.Token, Load: s.Load}
 	key := Key{Move: rwtree.MoveName(move.Route), Begun: move.Begun, Version: s.Version}
 	m.mu.Lock()
 	if m.own == nil {
-		m.own = map[Key]Evidence{}
+		m.own = map[Key]rwevidence.Evidence{}
 	}
 	m.own[key] = m.own[key].With(seen)
 	m.mu.Unlock()
@@ -130,7 +131,7 @@
 // enough.
 func (m *Mover) judge(move rwtree.Move) {
 	before, after := m.evidence(move)
-	reason := Judge(before, after)
+	reason := rwevidence.Judge(before, after)
 	if reason == "" || m.contained(move) {
 		return
 	}
@@ -169,7 +170,7 @@
 }
 
 // evidence sums what all instances saw of both versions.
-func (m *Mover) evidence(move rwtree.Move) (before, after Evidence) {
+func (m *Mover) evidence(move rwtree.Move) (before, after rwevidence.Evidence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	name := rwtree.MoveName(move.Route)
@@ -187,8 +188,8 @@
 type entry struct {
 	Key
 
-	Evidence Evidence `json:"evidence"`
-	Pinned   int      `json:"pinned"`
+	Evidence rwevidence.Evidence `json:"evidence"`
+	Pinned   int                 `json:"pinned"`
 }
 
 // Share returns this instance's own evidence on running moves, for its peers.
@@ -239,7 +240,7 @@
 	if json.Unmarshal(body, &entries) != nil {
 		return
 	}
-	evidence := map[Key]Evidence{}
+	evidence := map[Key]rwevidence.Evidence{}
 	pins := map[Key]int{}
 	for _, e := range entries {
 		evidence[e.Key] = e.Evidence
@@ -247,7 +248,7 @@
 	}
 	m.mu.Lock()
 	if m.peers == nil {
-		m.peers = map[peer]map[Key]Evidence{}
+		m.peers = map[peer]map[Key]rwevidence.Evidence{}
 		m.pins = map[string]map[Key]int{}
 	}
 	m.pins[instance] = pins
@@ -282,9 +283,9 @@
 type Status struct {
 	rwtree.Move
 
-	Contained string   `json:"contained,omitempty"`
-	Before    Evidence `json:"before"`
-	After     Evidence `json:"after"`
+	Contained string              `json:"contained,omitempty"`
+	Before    rwevidence.Evidence `json:"before"`
+	After     rwevidence.Evidence `json:"after"`
 }
 
 // Status returns all moves with what is known of them here.
--- a/internal/rwmove/plan.go
+++ b/internal/rwmove/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwtree"
 )
 
@@ -22,10 +23,10 @@
 type Plan struct {
 	Move   rwtree.Move
 	Now    time.Time
-	Before Evidence // of the old version
-	After  Evidence // of the new version
-	Bad    string   // why the new version is bad, if it is
-	Loaded bool     // enough servers have the new version
+	Before rwevidence.Evidence // of the old version
+	After  rwevidence.Evidence // of the new version
+	Bad    string              // why the new version is bad, if it is
+	Loaded bool                // enough servers have the new version
 	Soaked time.Duration
 }
 
@@ -91,7 +92,7 @@
 
 // leansBad reports whether the failures seen so far speak more for a bad version
 // than for a good one, though not enough to take it back: the share waits.
-func (p Plan) leansBad() bool { return failureOdds(p.Before, p.After) > 0 }
+func (p Plan) leansBad() bool { return rwevidence.FailureOdds(p.Before, p.After) > 0 }
 
 // curve is the share at a part of the ramp: slow at first, when little is known.
 func curve(done float64) float64 {
--- a/internal/rwmove/trial.go
+++ b/internal/rwmove/trial.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwtree"
 )
 
@@ -46,7 +47,7 @@
 	random := rand.New(rand.NewPCG(t.Seed, 0))
 	begun := time.Unix(0, 0)
 	move := rwtree.Move{Route: "team/route", From: "old", To: "new", Begun: begun, Deadline: begun.Add(t.Length), Phase: rwtree.PhaseLoading}
-	var before, after Evidence
+	var before, after rwevidence.Evidence
 	var out Outcome
 	var soakBegan time.Duration
 	bad := ""
@@ -64,7 +65,7 @@
 			}
 			after = after.With(t.New.sample(random, at, move.Share))
 			if bad == "" {
-				bad = Judge(before, after)
+				bad = rwevidence.Judge(before, after)
 				out.Evidence = at
 			}
 		}
@@ -86,17 +87,17 @@
 	return out
 }
 
-func (h Habit) sample(random *rand.Rand, at time.Duration, share float64) Seen {
+func (h Habit) sample(random *rand.Rand, at time.Duration, share float64) rwevidence.Seen {
 	bad := at >= h.After && share >= h.Above
 	slow := 1.0
 	if bad && h.Slow > 0 {
 		slow = h.Slow
 	}
 	if bad && random.Float64() < h.Fail {
-		return Seen{Failed: true}
+		return rwevidence.Seen{Failed: true}
 	}
-	spread := max(h.Spread, spreadLeast/2)
-	return Seen{
+	spread := max(h.Spread, rwevidence.SpreadLeast/2)
+	return rwevidence.Seen{
 		First: lognormal(random, 300*time.Millisecond, slow, spread),
 		Token: lognormal(random, 30*time.Millisecond, slow, spread),
 		Load:  random.Float64(),
--- a/internal/rwmove/trial_test.go
+++ b/internal/rwmove/trial_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwtree"
 
 	"github.com/stretchr/testify/require"
@@ -86,11 +87,11 @@
 	begun := time.Unix(0, 0)
 	p := Plan{
 		Move: rwtree.Move{Route: "t/r", From: "a", To: "b", Begun: begun, Deadline: begun.Add(time.Minute), Phase: rwtree.PhaseRamping, Share: Canary},
-		Now:  begun.Add(20 * time.Second), Before: Evidence{Runs: 100}, After: Evidence{Runs: 2, Failed: 2},
+		Now:  begun.Add(20 * time.Second), Before: rwevidence.Evidence{Runs: 100}, After: rwevidence.Evidence{Runs: 2, Failed: 2},
 	}
 	next, changed := p.Next()
 	require.False(t, changed, "%+v", next)
-	p.After = Evidence{Runs: 30}
+	p.After = rwevidence.Evidence{Runs: 30}
 	next, changed = p.Next()
 	require.True(t, changed)
 	require.Greater(t, next.Share, Canary)
--- a/internal/rwroute/table_test.go
+++ b/internal/rwroute/table_test.go
@@ -37,8 +37,9 @@
 	const requests = 20000
 	for n := range requests {
 		id := strconv.Itoa(n)
-		require.Equal(t, route.Service(id), route.Service(id))
-		counts[route.Service(id)]++
+		service := route.Service(id)
+		require.Equal(t, service, route.Service(id))
+		counts[service]++
 	}
 	require.InDelta(t, 0.1, float64(counts["new"])/requests, 0.01)
 	require.Empty(t, rwroute.Route{}.Service("1"))
