Version moves on the users' platform

Built: rwversion (share by time, evidence of all instances added up, taken back by whoever finds it bad, outcome written under a condition), its feed, its notices and the choice of servers by version. Ruled out: the mover of the settings tree, which keeps its moves as objects of the tree and pins generations; only its test of versions is shared (rwevidence).

--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -38,8 +38,8 @@
 	store := platform.NewStore(settings.Store)
 	instance := &rwentry.Instance{
 		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Engines: platform.NewEngines(), Log: log,
-		Stores:      rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store)},
-		DecodeState: platform.DecodeState, DecodeServer: platform.DecodeServer,
+		Stores:      rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store), Moves: platform.NewMoves(store)},
+		DecodeState: platform.DecodeState, DecodeServer: platform.DecodeServer, DecodeMove: platform.DecodeMove,
 	}
 	go func() {
 		for range reload {
--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -23,6 +23,9 @@
 	// membersWait is how long a watch of the instances waits: they change rarely,
 	// and news of a change is of use, not needed.
 	membersWait = 25 * time.Second
+	// movesWait is how long a watch of the version moves waits: an order begins
+	// with a canary, and a second more or less matters little.
+	movesWait = 10 * time.Second
 	// peersAfter is the age from which a watcher that gets no confirmation from
 	// the store follows its peers besides.
 	peersAfter = 1800 * time.Millisecond
@@ -44,6 +47,7 @@
 	settings               rwfeed.Settings
 	list                   rwfeed.Servers
 	states, servers, peers rwfeed.Held
+	moves                  rwfeed.Held
 	watchers               []*rwfeed.Watcher
 	state                  *rwfeed.Watcher // the one that follows the desired state
 	follower               rwfeed.Follower
@@ -62,7 +66,8 @@
 	f.states.Kind, f.states.Apply, f.states.Log = "state", f.settings.Apply, i.Log
 	f.servers.Kind, f.servers.Apply, f.servers.Log = "servers", f.list.Apply, i.Log
 	f.peers.Kind, f.peers.Apply, f.peers.Log = "instances", i.members.Apply, i.Log
-	f.servers.Slow, f.peers.Slow = true, true
+	f.moves.Kind, f.moves.Apply, f.moves.Log = "moves", i.moves.apply, i.Log
+	f.servers.Slow, f.peers.Slow, f.moves.Slow = true, true, true
 	watch := func(held *rwfeed.Held, source rwfeed.Source, wait, pause time.Duration) *rwfeed.Watcher {
 		w := &rwfeed.Watcher{Held: held, Source: source, Task: f.watches, Wait: wait, Gather: pause, Back: f.back, Log: i.Log}
 		if state := f.state; state != nil {
@@ -77,8 +82,9 @@
 	watch(&f.states, i.Stores.States, stateWait, 0)
 	servers := watch(&f.servers, i.Stores.Servers, serversWait, gather)
 	watch(&f.peers, i.Stores.Members, membersWait, time.Second)
+	watch(&f.moves, i.Stores.Moves, movesWait, 0)
 	f.list.Regained = servers.Regained
-	held := []*rwfeed.Held{&f.states, &f.servers, &f.peers}
+	held := []*rwfeed.Held{&f.states, &f.servers, &f.peers, &f.moves}
 	f.follower = rwfeed.Follower{Held: held, Peers: f.tries, Log: i.Log}
 	f.server = rwfeed.Server{Address: i.Settings.Instances, Held: held, Log: i.Log}
 }
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -19,6 +19,7 @@
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
+	"ragwortwall/internal/rwversion"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -39,6 +40,7 @@
 	States  rwfeed.Source
 	Servers rwfeed.Source
 	Members MemberStore
+	Moves   MoveStore
 }
 
 // MemberStore keeps the list of instances.
@@ -47,6 +49,12 @@
 	Put(ctx context.Context, name string, spec any) error
 }
 
+// MoveStore keeps the orders of version moves.
+type MoveStore interface {
+	rwfeed.Source
+	Record(ctx context.Context, s rwversion.Step) error
+}
+
 // Instance is one entry instance. Set the exported fields before Run.
 type Instance struct {
 	Settings     Settings
@@ -54,6 +62,7 @@
 	Stores       Stores
 	DecodeState  func(name string, spec json.RawMessage) (*rwroute.Table, error)
 	DecodeServer func(name string, spec json.RawMessage) (rwbackend.Entry, error)
+	DecodeMove   func(c rwfeed.Change) (rwversion.Order, error)
 	Wire         rwforward.Wire
 	Engines      rwforward.Engines
 	Log          logr.Logger
@@ -65,6 +74,7 @@
 	probe     rwlink.Probe
 	counters  rwforward.Counters
 	poison    rwpoison.Book
+	moves     moves
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
@@ -78,9 +88,11 @@
 	i.members.Self, i.members.Zone, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Log
 	i.exchange.Self, i.exchange.Life, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.Notices
 	i.exchange.Members, i.exchange.Directory, i.exchange.Poison, i.exchange.Log = &i.members, i.directory, &i.poison, i.Log
+	i.moves.instance = i
+	i.exchange.Moves = &i.moves.book
 	i.feeds.build(i)
 	i.forwarder = &rwforward.Forwarder{
-		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Wire: i.Wire, Engines: i.Engines,
+		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Versions: &i.moves.book, Wire: i.Wire, Engines: i.Engines,
 		Budget: &rwretry.Budget{Most: i.repeats}, Notify: i.exchange.Tell, Lost: i.exchange.Lost, Poison: &i.poison, Suspect: i.exchange.Suspect, Leaving: i.leaving.Load, Log: i.Log, Count: &i.counters,
 	}
 	background, stop := context.WithCancel(context.Background())
@@ -88,7 +100,7 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.runs(), i.sweep, i.join, i.exchange.Run, i.exchange.Hello) {
+	for _, run := range append(i.feeds.runs(), i.sweep, i.moves.run, i.join, i.exchange.Run, i.exchange.Hello) {
 		work.Go(func() { run(background) })
 	}
 	return i.serve(ctx)
--- a/internal/rwfeed/held.go
+++ b/internal/rwfeed/held.go
@@ -16,6 +16,7 @@
 	Name     string          `json:"name"`
 	Revision int64           `json:"revision"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
+	Status   json.RawMessage `json:"status,omitempty"`
 	Gone     bool            `json:"gone,omitempty"`
 }
 
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -8,11 +8,13 @@
 
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
+	"ragwortwall/internal/rwversion"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -54,6 +56,7 @@
 	Directory *rwbackend.Directory
 	Pool      *rwlink.Pool
 	Probe     *rwlink.Probe
+	Versions  *rwversion.Book
 	Wire      Wire
 	Engines   Engines
 	Budget    *rwretry.Budget
@@ -237,6 +240,38 @@
 	return nil
 }
 
+// servers returns what is known of the servers that may run the request: those of
+// the versions that a move allows it, or when there are none of these, of all that
+// were not taken back.
+func (c *call) servers() []rwbackend.View {
+	all := c.f.Directory.Service(c.service.Name)
+	allows := c.f.Versions.Allows(c.service.Name, c.ask.ID)
+	if allows == nil {
+		return all
+	}
+	var allowed, others []rwbackend.View
+	for _, s := range all {
+		switch {
+		case allows(s.Version):
+			allowed = append(allowed, s)
+		case !c.f.Versions.Barred(c.service.Name, s.Version):
+			others = append(others, s)
+		}
+	}
+	if len(allowed) == 0 {
+		return others
+	}
+	return allowed
+}
+
+// saw notes what the request saw of a server's version.
+func (c *call) saw(server rwbackend.View, failed bool, first time.Duration) {
+	seen := rwevidence.Seen{Failed: failed, First: first, Load: float64(server.Plain+server.Others) / float64(max(1, server.Slots))}
+	if c.f.Versions.Seen(c.service.Name, server.Version, seen) {
+		c.f.Log.Info("new version found bad", "service", c.service.Name, "version", server.Version, "request", c.ask.ID)
+	}
+}
+
 // order is what goes to a server with the request.
 func (c *call) order(server string) Order {
 	o := Order{Left: c.left(), Server: server, Organisation: c.org.Name, Cursor: c.ask.Cursor, Resumed: c.ask.Resumed}
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -131,7 +131,7 @@
 	if c.left() <= 0 {
 		return rwbackend.View{}, rwerror.New(rwerror.KindTimeout, "send it again with more time", "the time for the request is over")
 	}
-	servers := c.f.Directory.Service(c.service.Name)
+	servers := c.servers()
 	server, ok := rwpick.Plain(servers, c.f.Zone, func(id string) bool { return c.tried[id] })
 	if !ok {
 		return server, rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After",
@@ -175,6 +175,7 @@
 		if ctx.Err() == nil && !reused {
 			c.f.Directory.Lost(server.ID)
 			c.implicate(server.Entry)
+			c.saw(server, true, 0)
 		}
 		c.note("broken off", server.ID, err)
 		return a, fateUnknown, err
@@ -182,7 +183,11 @@
 	if stop() {
 		c.f.Pool.Put(conn)
 	}
-	return c.classify(a, server.ID, time.Since(began))
+	took := time.Since(began)
+	if !a.reply.NotRun {
+		c.saw(server, a.status >= http.StatusInternalServerError, took)
+	}
+	return c.classify(a, server.ID, took)
 }
 
 func (c *call) classify(a answer, server string, took time.Duration) (answer, fate, error) {
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -105,7 +105,7 @@
 		// it is charged, and not held back.
 		s.f.Budget.Spend(s.service.Name)
 	}
-	servers := s.f.Directory.Service(s.service.Name)
+	servers := s.servers()
 	engine := rwpick.EngineSize{Slots: s.service.Engine.Slots, Memory: s.service.Engine.Memory}
 	tried := func(id string) bool { return s.tried[id] }
 	need := rwpick.Need{Prompt: s.ask.Prompt, Output: s.ask.Output, Read: s.ask.Prompt}
@@ -323,6 +323,7 @@
 	if s.left() > 0 {
 		s.lost(n.server)
 		s.implicate(n.server.Entry)
+		s.saw(n.server, true, 0)
 	}
 	s.f.Log.Info("stream broken off", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "cause", cause.Error(),
 		"events", s.events, "copy", s.run.Copy, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
@@ -337,6 +338,7 @@
 		return false, s.broke(n, err)
 	}
 	s.f.Directory.Answered(n.server.ID, true, 0, reply.Load)
+	s.saw(n.server, true, 0)
 	s.note("failed", n.server.ID, errors.Errorf("status %d", response.StatusCode))
 	again := response.StatusCode >= http.StatusInternalServerError && s.route.Resumable && s.sent < s.route.Attempts
 	if s.begun || again || !reply.Signature {
@@ -362,6 +364,7 @@
 func (s *stream) began(n next, took time.Duration) {
 	s.run.Begun = true
 	s.f.Notify(s.run)
+	s.saw(n.server, false, took)
 	if n.server.Backlog == 0 && n.from == "" && !s.ask.Resumed {
 		s.f.Directory.MeasureRead(n.read, took)
 	}
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -11,6 +11,7 @@
 
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwversion"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -18,18 +19,19 @@
 
 // Notice is one datagram.
 type Notice struct {
-	From  string               `json:"from"`            // name of who has the news
-	Life  int64                `json:"life"`            // of the sender: another after a restart
-	Hello bool                 `json:"hello,omitempty"` // the sender has just started: tell it of your runs
-	Relay bool                 `json:"relay,omitempty"` // hand it on within your zone
-	Runs  []rwbackend.Run      `json:"runs,omitempty"`  // as they are now
-	Lost  []string             `json:"lost,omitempty"`  // servers that the sender lost
-	Crash []rwpoison.Suspicion `json:"crash,omitempty"` // requests under which servers crashed
+	From  string                     `json:"from"`            // name of who has the news
+	Life  int64                      `json:"life"`            // of the sender: another after a restart
+	Hello bool                       `json:"hello,omitempty"` // the sender has just started: tell it of your runs
+	Relay bool                       `json:"relay,omitempty"` // hand it on within your zone
+	Runs  []rwbackend.Run            `json:"runs,omitempty"`  // as they are now
+	Lost  []string                   `json:"lost,omitempty"`  // servers that the sender lost
+	Moves map[string]rwversion.Total `json:"moves,omitempty"` // what the sender saw of versions, by service
+	Crash []rwpoison.Suspicion       `json:"crash,omitempty"` // requests under which servers crashed
 }
 
 const (
 	// noticeMost keeps a notice within one packet, in bytes.
-	noticeMost = 1300
+	noticeMost = 1400
 	// runsMost and lostMost are how many fit into one notice.
 	runsMost = 4
 	lostMost = 16
@@ -53,6 +55,7 @@
 	Members   *Members
 	Directory *rwbackend.Directory
 	Poison    *rwpoison.Book
+	Moves     *rwversion.Book
 	Log       logr.Logger
 
 	mu    sync.Mutex
@@ -134,6 +137,11 @@
 	for _, id := range n.Lost {
 		x.Directory.Lost(id)
 	}
+	for service, total := range n.Moves {
+		if x.Moves.Merge(n.From, service, total) {
+			x.Log.Info("new version found bad", "service", service, "by", n.From)
+		}
+	}
 	for _, s := range n.Crash {
 		x.Poison.Merge(s)
 	}
@@ -211,6 +219,11 @@
 	x.lost = append(x.lost, id)
 }
 
+// TellMove tells what this instance has seen of the versions of a service.
+func (x *Exchange) TellMove(service string, t rwversion.Total) {
+	x.spread(x.signed(Notice{Moves: map[string]rwversion.Total{service: t}}))
+}
+
 // Suspect tells of a request under which a server crashed.
 func (x *Exchange) Suspect(s rwpoison.Suspicion) {
 	x.spread(x.signed(Notice{Crash: []rwpoison.Suspicion{s}}))
