--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -141,6 +141,18 @@
 	return views
 }
 
+// All returns what is known of all listed servers.
+func (d *Directory) All() []View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	views := make([]View, 0, len(d.servers))
+	for _, s := range d.servers {
+		views = append(views, d.viewLocked(s, now))
+	}
+	return views
+}
+
 func (d *Directory) viewLocked(s *Server, now time.Time) View {
 	v := View{
 		Entry: s.Entry, Plain: s.plain, Failures: s.failures,
--- /dev/null
+++ b/internal/rwcommand/explain.go
@@ -0,0 +1,43 @@
+package rwcommand
+
+import (
+	"encoding/json"
+	"os"
+
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlog"
+)
+
+// explainCommand prints what logs say of one request.
+type explainCommand struct {
+	JSON bool `long:"json" description:"print JSON"`
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST-ID"`
+		Files   []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+
+	o output
+}
+
+// Execute reads the files and prints the story.
+func (c *explainCommand) Execute([]string) error {
+	story := rwlog.Story{Request: c.Args.Request}
+	for _, name := range c.Args.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return rwerror.New(rwerror.KindInvalid, "name log files that can be read", "%v", err)
+		}
+		err = story.Read(name, file)
+		_ = file.Close()
+		if err != nil {
+			return rwerror.New(rwerror.KindInvalid, "name log files of instances", "%s can't be read: %v", name, err)
+		}
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(c.o.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(story)
+	}
+	story.Write(c.o.out)
+	return nil
+}
--- a/internal/rwcommand/main.go
+++ b/internal/rwcommand/main.go
@@ -23,11 +23,12 @@
 	Server       serverCommands       `command:"server" description:"backend servers"`
 	Move         moveCommands         `command:"move" description:"version moves"`
 	State        stateCommand         `command:"state" description:"print the state of an instance"`
+	Explain      explainCommand       `command:"explain" description:"print what logs say of one request"`
 }
 
 // newOptions returns the commands with their output.
 func newOptions(o output) *options {
-	opts := &options{Hash: hashCommand{o: o}, Check: checkCommand{o: o}}
+	opts := &options{Hash: hashCommand{o: o}, Check: checkCommand{o: o}, Explain: explainCommand{o: o}}
 	for _, c := range []*operatorOptions{
 		&opts.Settings.List.operatorOptions, &opts.Settings.Get.operatorOptions, &opts.Settings.Put.operatorOptions,
 		&opts.Settings.Status.operatorOptions, &opts.Settings.History.operatorOptions, &opts.Settings.Rollback.operatorOptions,
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -100,7 +100,7 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.runs(), i.sweep, i.moves.run, i.join, i.exchange.Run, i.exchange.Hello) {
+	for _, run := range append(i.feeds.runs(), i.sweep, i.metrics, i.moves.run, i.join, i.exchange.Run, i.exchange.Hello) {
 		work.Go(func() { run(background) })
 	}
 	return i.serve(ctx)
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -70,7 +70,7 @@
 			}
 			return full(server.ID)
 		default:
-			return lost(server.ID, err)
+			return c.lost(server.ID, err)
 		}
 	}
 }
@@ -79,7 +79,12 @@
 	return rwerror.New(rwerror.KindOverloaded, "come back after the time in Retry-After", "backend server %s has no room", server).WithRetryAfter(retrySoon)
 }
 
-func lost(server string, cause error) error {
+// lost is the answer to a request that a server may have run.
+func (c *call) lost(server string, cause error) error {
+	if c.left() <= 0 {
+		return rwerror.New(rwerror.KindTimeout, "ask the service whether it ran before you send it again",
+			"the time for the request was over while backend server %s had it", server).WithRan(rwerror.RanUnknown)
+	}
 	return rwerror.New(rwerror.KindUnknown, "ask the service whether it ran before you send it again",
 		"backend server %s was lost after the request was sent: %v", server, cause).WithRan(rwerror.RanUnknown)
 }
@@ -114,7 +119,7 @@
 		case fateNotRun:
 			last = full(server.ID)
 		default:
-			last = lost(server.ID, err)
+			last = c.lost(server.ID, err)
 		}
 		if c.left() <= 0 || c.r.Context().Err() != nil {
 			break
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -236,6 +236,13 @@
 	}
 	s.f.Notify(s.run)
 	s.keeper.placed(n)
+	if s.sent > 1 || s.ask.Resumed {
+		where := "anew"
+		if n.from != "" {
+			where = "copy"
+		}
+		s.f.Count.resumed(where)
+	}
 	s.f.Log.Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
 		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "sent", s.sent)
 }
@@ -325,12 +332,27 @@
 		s.implicate(n.server.Entry)
 		s.saw(n.server, true, 0)
 	}
+	s.f.Count.lost(causeName(cause))
 	s.f.Log.Info("stream broken off", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "cause", cause.Error(),
 		"events", s.events, "copy", s.run.Copy, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
 	return rwerror.New(rwerror.KindUnknown, "send it again with the id of the last event",
 		"backend server %s was lost: %v", n.server.ID, cause).WithRan(rwerror.RanUnknown)
 }
 
+// causeName names the cause of a loss in counters.
+func causeName(cause error) string {
+	switch {
+	case errors.Is(cause, errHung):
+		return "hung"
+	case errors.Is(cause, errGone):
+		return "gone"
+	case errors.Is(cause, errBroken):
+		return "gap"
+	default:
+		return "broken"
+	}
+}
+
 // failed handles an answer that is no stream.
 func (s *stream) failed(response *http.Response, n next, reply Reply) (bool, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerMost))
@@ -405,6 +427,7 @@
 	if s.sent == 1 && s.ask.Output > 0 {
 		s.f.Directory.MeasureToken(s.ask.Output, time.Since(s.firstAt))
 	}
+	s.f.Count.longest(s.pause)
 	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
 	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent,
 		"first", s.firstAt.Sub(s.call.began).Seconds(), "pause", s.pause.Seconds(), "took", time.Since(s.call.began).Seconds())
@@ -426,7 +449,7 @@
 	if s.f.Leaving() {
 		text = "stream cut for the stop"
 	}
-	s.f.Count.add("left.stream")
+	s.f.Count.add("left_stream")
 	s.f.Log.Info(text, "request", s.ask.ID, "server", s.run.Server, "events", s.events, "took", time.Since(s.call.began).Seconds())
 	panic(http.ErrAbortHandler)
 }
@@ -438,7 +461,7 @@
 	if !s.begun {
 		return err
 	}
-	s.f.Count.add("cut.stream")
+	s.f.Count.add("cut_stream")
 	s.f.Log.Info("stream cut", "request", s.ask.ID, "cause", err.Error(), "events", s.events, "sent", s.sent, "took", time.Since(s.call.began).Seconds())
 	panic(http.ErrAbortHandler)
 }
