--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ragwortwall/internal/rwerror"
@@ -41,24 +41,22 @@
 	Known bool  `json:"known"`
 }
 
-// encoding writes messages as JSON.
-type encoding struct{}
-
-// Marshal writes a message.
-func (encoding) Marshal(m drpc.Message) ([]byte, error) { return json.Marshal(m) }
-
-// Unmarshal reads a message.
-func (encoding) Unmarshal(b []byte, m drpc.Message) error { return json.Unmarshal(b, m) }
-
 // Server answers peers that follow this instance. Set the fields before Run.
 type Server struct {
 	Address string
 	Held    []*Held
 	Log     logr.Logger
+
+	whole atomic.Int32 // answers with all objects that are being sent
 }
 
-// waitMost bounds what a peer may ask for.
-const waitMost = 5 * time.Second
+const (
+	// waitMost bounds what a peer may ask for.
+	waitMost = 5 * time.Second
+	// wholeMost is how many peers get all objects at a time: more would keep this
+	// instance's link from its callers. The others ask elsewhere.
+	wholeMost = 3
+)
 
 // Run answers until ctx ends.
 func (s *Server) Run(ctx context.Context) {
@@ -84,11 +82,31 @@
 	taken := rwtime.Now()
 	s.wait(stream.Context(), ask)
 	answer := Answer{Kinds: map[string]Part{}}
+	if first(ask) {
+		defer s.whole.Add(-1)
+		if s.whole.Add(1) > wholeMost {
+			return send(stream, &answer)
+		}
+	}
 	for _, h := range s.Held {
 		batch, confirmed, _ := h.since(ask.Have[h.Kind])
 		answer.Kinds[h.Kind] = Part{Batch: batch, Known: confirmed > 0, Fresh: time.Duration(confirmed - taken).Milliseconds()}
 	}
-	if err := stream.MsgSend(&answer, encoding{}); err != nil {
+	return send(stream, &answer)
+}
+
+// first reports whether a peer has nothing yet.
+func first(ask Ask) bool {
+	for _, revision := range ask.Have {
+		if revision > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func send(stream drpc.Stream, answer *Answer) error {
+	if err := stream.MsgSend(answer, encoding{}); err != nil {
 		return errors.Trace(err)
 	}
 	return stream.CloseSend()
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -63,6 +63,8 @@
 		began := rwtime.Now()
 		batch, err := w.call(ctx)
 		switch {
+		case ctx.Err() != nil:
+			return // ended, not failed
 		case err == nil:
 			w.took(batch, began)
 			back = backLeast
--- /dev/null
+++ b/internal/rwforward/refuse_test.go
@@ -0,0 +1,44 @@
+package rwforward
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"ragwortwall/internal/rwerror"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestStatus: a status that promises "not run" is given only where that is proved.
+func TestStatus(t *testing.T) {
+	promises := map[int]bool{http.StatusServiceUnavailable: true, http.StatusTooManyRequests: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true}
+	for _, kind := range []rwerror.Kind{
+		rwerror.KindOverloaded, rwerror.KindUnavailable, rwerror.KindTimeout, rwerror.KindUnknown, rwerror.KindFailed,
+		rwerror.KindInternal, rwerror.KindQuarantined,
+	} {
+		for _, ran := range []rwerror.Ran{rwerror.RanYes, rwerror.RanUnknown} {
+			s := status(rwerror.New(kind, "", "").WithRan(ran))
+			require.False(t, promises[s], "%s %s: %d", kind, ran, s)
+		}
+	}
+	require.Equal(t, http.StatusServiceUnavailable, status(rwerror.New(rwerror.KindTimeout, "", "")))
+	require.Equal(t, http.StatusGatewayTimeout, status(rwerror.New(rwerror.KindTimeout, "", "").WithRan(rwerror.RanUnknown)))
+	require.Equal(t, http.StatusNotFound, status(rwerror.New(rwerror.KindNotFound, "", "")))
+}
+
+// TestSeconds answers the load of callers refused together: they are told to come
+// back at different times, none too soon.
+func TestSeconds(t *testing.T) {
+	seen := map[string]bool{}
+	for range 50 {
+		text := seconds(time.Second)
+		value, err := strconv.ParseFloat(text, 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, value, 1.0)
+		require.LessOrEqual(t, value, 1.34)
+		seen[text] = true
+	}
+	require.Greater(t, len(seen), 20)
+}
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -48,10 +48,12 @@
 		return nil, err
 	}
 	conn := &Conn{net: c, address: address, heard: time.Now()}
-	conn.reader = bufio.NewReaderSize(conn, bufferSize)
+	conn.reader = newReader(conn)
 	return conn, nil
 }
 
+func newReader(c *Conn) *bufio.Reader { return bufio.NewReaderSize(c, bufferSize) }
+
 // Reached reports whether a host answers at an address: it accepts or refuses a
 // connection. Silence within the timeout is no answer.
 func Reached(ctx context.Context, address string, timeout time.Duration) (accepted, answered bool) {
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -1,7 +1,10 @@
 package rwpeer
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 
 	"ragwortwall/internal/rwfeed"
@@ -52,38 +55,38 @@
 	m.Log.Info("instances known", "count", len(m.known), "revision", b.Revision)
 }
 
-// Watches reports whether this instance is its zone's watcher of the store.
+// followersMost is how many instances a watcher serves: what it sends them must
+// leave room on a small instance's link for its callers.
+const followersMost = 14
+
+// Watches reports whether this instance is a watcher of the store.
 func (m *Members) Watches() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.watcherLocked(m.Zone) == m.Self
+	return slices.Contains(m.watchersLocked(m.Zone), m.Self)
 }
 
-// watcherLocked is the watcher of a zone: the same one wherever the same
-// instances are known.
-func (m *Members) watcherLocked(zone string) string {
-	best, rank := "", uint64(0)
-	consider := func(name string) {
-		if r := xxhash.Sum64String(watchKey + name); best == "" || r > rank {
-			best, rank = name, r
-		}
-	}
+// watchersLocked returns the watchers of a zone, one for each followersMost of its
+// instances: the same ones wherever the same instances are known.
+func (m *Members) watchersLocked(zone string) []string {
+	var names []string
 	if zone == m.Zone {
-		consider(m.Self)
+		names = append(names, m.Self)
 	}
 	for _, member := range m.known {
 		if member.Zone == zone {
-			consider(member.Name)
+			names = append(names, member.Name)
 		}
 	}
-	return best
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return names[:(len(names)+followersMost-1)/followersMost]
 }
 
-// watchKey ranks the instances for watching.
-const watchKey = "watch/"
+// rank orders the instances for watching.
+func rank(name string) uint64 { return xxhash.Sum64String("watch/" + name) }
 
-// Watchers returns the addresses of the watchers of all zones, the own zone's
-// first, but this instance's.
+// Watchers returns the addresses of the watchers but this instance: those of the
+// own zone first, each follower beginning at another one.
 func (m *Members) Watchers() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -91,19 +94,24 @@
 	for _, member := range m.known {
 		zones[member.Zone] = true
 	}
-	var near, far []string
-	for zone := range zones {
-		name := m.watcherLocked(zone)
-		member, ok := m.known[name]
-		switch {
-		case name == m.Self || !ok:
-		case zone == m.Zone:
-			near = append(near, member.Instances)
-		default:
-			far = append(far, member.Instances)
+	addresses := m.addressesLocked(m.Zone)
+	delete(zones, m.Zone)
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		addresses = append(addresses, m.addressesLocked(zone)...)
+	}
+	return addresses
+}
+
+func (m *Members) addressesLocked(zone string) []string {
+	names := m.watchersLocked(zone)
+	addresses := make([]string, 0, len(names))
+	for n := range names {
+		at := (uint64(n) + rank(m.Self)) % uint64(len(names))
+		if member, ok := m.known[names[at]]; ok {
+			addresses = append(addresses, member.Instances)
 		}
 	}
-	return append(near, far...)
+	return addresses
 }
 
 // Others returns the other instances.
--- a/internal/rwrelay/relay_test.go
+++ b/internal/rwrelay/relay_test.go
@@ -121,3 +121,23 @@
 		t.Run(name, func(t *testing.T) { synctest.Test(t, check) })
 	}
 }
+
+// FuzzEvents: whatever bytes come, only whole events pass, and nothing is made up.
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{event(1) + event(2), "id: 1\ndata", "\n\n", "id: x\n\nid: 9999999999999999999\n\n", "data: \r\n\r\n"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		events := rwrelay.NewEvents(strings.NewReader(text))
+		rest := text
+		for {
+			e, err := events.Next()
+			if err != nil {
+				return
+			}
+			at := strings.Index(rest, string(e.Raw))
+			require.GreaterOrEqual(t, at, 0)
+			rest = rest[at+len(e.Raw):]
+		}
+	})
+}
--- a/internal/rwversion/book.go
+++ b/internal/rwversion/book.go
@@ -79,7 +79,7 @@
 		m = &move{seen: time.Now(), share: canaryShare, peers: map[string]Total{}}
 		b.moves[o.Service] = m
 	}
-	if known && m.Order.State > o.State && m.Target == o.Target {
+	if known && m.State > o.State && m.Target == o.Target {
 		return // what ended does not begin again
 	}
 	m.Order = o
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -56,5 +56,30 @@
 breaks internal/rwtoken 'TestJournalRefuses' internal/rwtoken/journal.go 'if have != digest {' 'if false {'
 breaks internal/rwretry 'TestBudget' internal/rwretry/budget.go 'if balance < 1 {' 'if balance < -1e9 {'
 breaks internal/rwpoison 'TestBook' internal/rwpoison/book.go 'isolated && len(e.servers) >= Deaths' 'len(e.servers) >= Deaths'
+# The users' platform.
+f=internal/rwforward
+breaks platform 'TestSmuggled' $f/forwarder.go 'len(r.TransferEncoding) > 0 || f.Leaving()' 'f.Leaving()'
+breaks platform 'TestForged' platform/headers.go 'set(headerTenant, o.Organisation)' '_ = o.Organisation'
+breaks platform 'TestKeys' internal/rwentry/instance.go 'time.Duration(keyMargin * float64(i.Settings.KeyBound))' 'time.Hour'
+breaks platform 'TestSettingsStay' internal/rwfeed/store.go 'w.whole = true
+		default' 'w.whole = false
+		default'
+breaks platform 'TestMove' internal/rwentry/moves.go 'm.record(ctx)' '_ = ctx'
+breaks internal/rwbackend 'TestEntries' internal/rwbackend/directory.go 'if !s.Leaving {' 'if true {'
+breaks $f 'TestStatus' $f/refuse.go 'return http.StatusBadGateway' 'return s'
+breaks internal/rwrelay 'TestOrder' internal/rwrelay/event.go 'o.started && e.ID <= o.last' 'false'
+breaks internal/rwrelay 'TestOrderResumed' internal/rwrelay/event.go 'o.started && e.ID > o.last+1' 'false'
+breaks internal/rwfeed 'TestHeldNeverGoesBack' internal/rwfeed/held.go 'b.Revision < h.revision' 'false'
+breaks internal/rwfeed 'TestServersReturn' internal/rwfeed/servers.go '!entry.Leaving && time.Since(s.Regained()) < returnTime' 'false'
+breaks internal/rwfeed 'TestFollowPeer' internal/rwfeed/peer.go 'time.Duration(confirmed - taken).Milliseconds()' '0'
+breaks internal/rwlink 'TestExchangeLate' internal/rwlink/conn.go 'owns != nil && !owns(response.Header)' 'false'
+breaks internal/rwlink 'TestExtra' internal/rwlink/conn.go 'c.reader.Buffered() == 0' 'true'
+breaks internal/rwlink 'TestPool' internal/rwlink/pool.go 'open = errors.Is(err, unix.EAGAIN)' 'open = true'
+breaks internal/rwpick 'TestStreamZoneLoss' internal/rwpick/stream.go 'looked >= choices' 'false'
+breaks internal/rwpick 'TestStream/copy' internal/rwpick/stream.go 'cost += sameZoneTokens' 'cost += 0'
+breaks internal/rwversion 'TestBad' internal/rwversion/book.go 'case m.bad != "" || m.State == StateTakenBack:' 'case m.State == StateTakenBack:'
+breaks internal/rwbackend 'TestZoneLoss' internal/rwbackend/evidence.go 'lost < alarmLosses' 'lost < 1'
+breaks internal/rwbackend 'TestRunsOfPeers' internal/rwbackend/evidence.go 'run.Begun = r.hasBegun' 'run.Begun = run.Begun && r.hasBegun'
+breaks internal/rwlog 'TestSlowReader' internal/rwlog/log.go 'len(w.pending)+len(line) > bufferMost' 'false'
 echo "$caught passed, $missed failed"
 [ "$missed" = 0 ]
