The test of bad versions goes on after they were found bad

breaks.sh: the guard that keeps a bad version out while the store is away was not noticed, as the play ended with the decision. It fails now without the guard.

--- a/internal/rwversion/book_test.go
+++ b/internal/rwversion/book_test.go
@@ -31,6 +31,7 @@
 	requests  int
 	exposed   int // requests that the new version got
 	afterBad  int // of these, after its 50th failure and a time
+	afterEnd  int // of these, a second after it was found bad; the store is away
 	badAnswer int
 }
 
@@ -52,6 +53,9 @@
 		if books[at].Allows("orders", strconv.Itoa(out.requests))("v2") {
 			version = "v2"
 			out.exposed++
+			if out.next == rwversion.StateTakenBack && time.Since(began) > out.at+time.Second {
+				out.afterEnd++
+			}
 			if !fifty.IsZero() && time.Since(fifty) > 5*time.Second {
 				out.afterBad++
 			}
@@ -74,9 +78,8 @@
 			}
 		}
 		for _, s := range books[0].Steps() {
-			if s.Next >= rwversion.StateCompleted {
+			if s.Next >= rwversion.StateCompleted && out.next == rwversion.StateNew {
 				out.next, out.at = s.Next, time.Since(began)
-				return out
 			}
 		}
 	}
@@ -110,6 +113,7 @@
 				require.Equal(t, rwversion.StateTakenBack, out.next)
 				require.LessOrEqual(t, out.exposed, rate*int(length/time.Second)/10+50)
 				require.Zero(t, out.afterBad)
+				require.Zero(t, out.afterEnd, "it is kept out while the store can't be written")
 			})
 		})
 	}
