--- a/internal/rwcommand/settings.go
+++ b/internal/rwcommand/settings.go
@@ -15,6 +15,7 @@
 	"ragwortwall/internal/rwoperate"
 	"ragwortwall/internal/rwserve"
 	"ragwortwall/internal/rwtree"
+	"ragwortwall/platform"
 
 	"github.com/juju/errors"
 )
@@ -201,6 +202,7 @@
 // checkCommand checks settings without a running system.
 type checkCommand struct {
 	Settings  string `long:"settings" description:"JSON file with the settings of a process"`
+	Boot      string `long:"boot" description:"settings file of an instance on the users' platform"`
 	Arguments struct {
 		Tree string `positional-arg-name:"directory" description:"JSON files of a settings tree, one a subtree"`
 	} `positional-args:"yes"`
@@ -219,6 +221,11 @@
 			return errors.Annotate(err, c.Settings)
 		}
 	}
+	if c.Boot != "" {
+		if _, err := platform.ReadSettings(c.Boot); err != nil {
+			return errors.Annotate(err, c.Boot)
+		}
+	}
 	if c.Arguments.Tree != "" {
 		if err := checkTree(c.Arguments.Tree); err != nil {
 			return err
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -173,19 +173,12 @@
 }
 
 func (i *Instance) sweep(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	rwtime.Every(ctx, time.Second, func() {
 		i.pool.Sweep()
 		if table := i.feeds.settings.Table(); table != nil && table.Limits.IdleTime > 0 {
 			i.idle.closeOver(table.Limits.IdleTime)
 		}
-	}
+	})
 }
 
 func (i *Instance) readyHandler() http.Handler {
--- a/internal/rwentry/moves.go
+++ b/internal/rwentry/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortwall/internal/rwfeed"
+	"ragwortwall/internal/rwtime"
 	"ragwortwall/internal/rwversion"
 )
 
@@ -41,21 +42,14 @@
 
 // run tells and writes until ctx ends.
 func (m *moves) run(ctx context.Context) {
-	ticker := time.NewTicker(moveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	rwtime.Every(ctx, moveInterval, func() {
 		for service, total := range m.book.Own() {
 			m.instance.exchange.TellMove(service, total)
 		}
 		if m.instance.feeds.watches() {
 			m.record(ctx)
 		}
-	}
+	})
 }
 
 // record writes the steps that are due. Of several watchers one comes first; the
--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
 )
@@ -78,16 +79,7 @@
 // Run drops servers whose entries have not come back, until ctx ends.
 func (s *Servers) Run(ctx context.Context) {
 	const interval = 250 * time.Millisecond // a small part of returnTime
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.settle()
-		}
-	}
+	rwtime.Every(ctx, interval, s.settle)
 }
 
 func (s *Servers) settle() {
