--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -35,6 +35,9 @@
 	// storeFirst is the same for an instance that has just started and knows of
 	// no settings at all: its seeds may be gone, and callers are waiting.
 	storeFirst = 200 * time.Millisecond
+	// storeCalm is the same when the whole system starts for the first time: no
+	// caller is there yet, and all would ask the store at once.
+	storeCalm = 3 * time.Second
 	// turnEach is the pause between two calls of the fleet to a store that does
 	// not answer, made by instances that are no watchers: together they ask no
 	// more often than a watcher does.
@@ -121,6 +124,9 @@
 		return false
 	}
 	if f.settings.Table() == nil {
+		if f.instance.Settings.First {
+			return time.Since(f.started) > storeCalm
+		}
 		return time.Since(f.started) > storeFirst
 	}
 	if time.Since(f.started) < storeAfter {
--- a/internal/rwentry/settings.go
+++ b/internal/rwentry/settings.go
@@ -16,6 +16,7 @@
 	Ready       string // address at which the balancer asks whether the instance is ready
 	Instances   string // address for other instances; empty for none
 	Notices     string // address for datagrams of other instances; empty for none
+	First       bool   // the whole system starts for the first time
 	Metrics     string // address for metrics and the state dump; empty for none
 	Seeds       []string
 	Store       string        // address of the platform's store
