--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 bench: build
-	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./platform
 	$(BIN)/rwmeasure path
 
 measure: build
