The soak finds broken guards; nothing is sent for a caller that has left

Built: servers that lose answers and that go on too soon or too late, an instance that stands still over the end of a key, impatient visitors; a final refusal before a send is no longer tried at every server.

--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -39,6 +39,7 @@
 	fateNotRun               // the server said that it did not run it
 	fateUnsent               // no byte reached the server
 	fateUnknown              // it may have run
+	fateRefused              // it may not be sent at all: the error is final
 )
 
 // plain answers a request with one whole answer.
@@ -64,6 +65,8 @@
 			return c.deliver(a, server.ID)
 		case fateUnsent:
 			continue
+		case fateRefused:
+			return err
 		case fateNotRun:
 			if c.sent < c.route.Attempts && c.f.Budget.Spend(c.service.Name) {
 				continue
@@ -79,6 +82,11 @@
 	return rwerror.New(rwerror.KindOverloaded, "come back after the time in Retry-After", "backend server %s has no room", server).WithRetryAfter(retrySoon)
 }
 
+// callerGone ends a request whose caller has left before it was sent.
+func callerGone() error {
+	return rwerror.New(rwerror.KindUnavailable, "send it again", "the caller left before the request was sent").WithRetryAfter(retrySoon)
+}
+
 // lost is the answer to a request that a server may have run.
 func (c *call) lost(server string, cause error) error {
 	if c.left() <= 0 {
@@ -114,6 +122,8 @@
 			return c.deliver(a, server.ID)
 		}
 		switch fate {
+		case fateRefused:
+			return err
 		case fateAnswered:
 			failure = &a
 		case fateNotRun:
@@ -149,9 +159,12 @@
 // try sends the request to one server and reads the whole answer.
 func (c *call) try(server rwbackend.View, wait time.Duration) (answer, fate, error) {
 	if err := c.confirmed(); err != nil {
-		return answer{}, fateUnsent, err
+		return answer{}, fateRefused, err
 	}
 	ctx := c.r.Context()
+	if ctx.Err() != nil {
+		return answer{}, fateRefused, callerGone()
+	}
 	once := c.route.Kind == rwroute.KindOnce
 	if once {
 		// What must not run twice is not broken off because its caller left.
--- a/internal/rwsoak/faults.go
+++ b/internal/rwsoak/faults.go
@@ -51,6 +51,28 @@
 		server.Mute(true)
 		return func() { server.Mute(false) }
 	}},
+	{"answers-lost", func(s *Soak, _ int) func() {
+		lose := func(lose bool) {
+			for n := range s.orders.Servers {
+				s.orders.At(n).Lose(lose)
+			}
+		}
+		lose(true)
+		return func() { lose(false) }
+	}},
+	{"sloppy", func(s *Soak, at int) func() {
+		events := []int{2, -2, 3, -1}[at%4]
+		ends := s.restart(&s.models, at)
+		for n := range s.models.Servers {
+			s.models.At(n).Sloppy(events)
+		}
+		return func() {
+			for n := range s.models.Servers {
+				s.models.At(n).Sloppy(0)
+			}
+			ends()
+		}
+	}},
 	{"leave", func(s *Soak, at int) func() {
 		s.models.At(at).Leave()
 		return s.restartLater(&s.models, at)
@@ -145,11 +167,10 @@
 	var work sync.WaitGroup
 	busy := map[string]bool{}
 	var mu sync.Mutex
-	key := time.AfterFunc(time.Duration(keyWhen*float64(s.Length)), func() {
-		s.store.Configure(standin.Version{Number: 2, Keys: []string{standin.Key}})
-		s.revoked.Store(time.Now().UnixMilli())
+	work.Go(func() {
+		time.Sleep(time.Duration(keyWhen * float64(s.Length)))
+		s.takeKey()
 	})
-	defer key.Stop()
 	for _, b := range schedule(s.random(), s.Length) {
 		select {
 		case <-ctx.Done():
@@ -179,14 +200,25 @@
 	work.Wait()
 }
 
+// takeKey takes the second key away while one instance stands still for longer
+// than the bound: it must not serve by what it knew when it goes on.
+func (s *Soak) takeKey() {
+	still := s.instances[s.Seed%uint64(len(s.instances))]
+	still.signal(syscall.SIGSTOP)
+	s.store.Configure(standin.Version{Number: 2, Keys: []string{standin.Key}})
+	s.revoked.Store(time.Now().UnixMilli())
+	time.Sleep(standin.RevokeTime + time.Second)
+	still.signal(syscall.SIGCONT)
+}
+
 // target names what a fault hurts: two faults of one target do not overlap.
 func (b blow) target(s *Soak) string {
 	switch faults[b.kind].name {
 	case "kill", "pause", "stop":
 		return "process " + s.instances[b.on%len(s.instances)].Name
-	case "crash", "zone-crash", "mute", "leave":
+	case "crash", "zone-crash", "mute", "leave", "sloppy":
 		return "models"
-	case "order-crash":
+	case "order-crash", "answers-lost":
 		return "orders"
 	case "store-down", "store-slow", "store-compact":
 		return "store"
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -57,9 +57,11 @@
 const (
 	zones       = 3
 	streamers   = 6
-	orderers    = 3
+	orderers    = 6
+	visitors    = 6
 	readyTime   = 20 * time.Second
 	streamTime  = 25 * time.Second
+	visitTime   = time.Second     // a visitor's patience, so that some always knock
 	settleTime  = 8 * time.Second // after the last fault, until callers must be served
 	brokenMost  = 20
 	faultsEvery = 700 * time.Millisecond
@@ -84,7 +86,9 @@
 	for range orderers {
 		work.Go(func() { s.sendOrders(callers) })
 	}
-	work.Go(func() { s.visits(callers) })
+	for range visitors {
+		work.Go(func() { s.visits(callers) })
+	}
 	s.harm(ctx)
 	s.recover(ctx)
 	done()
@@ -261,7 +265,9 @@
 	c := standin.NewCaller(standin.Key2, s.address)
 	for ctx.Err() == nil {
 		sent := time.Now().UnixMilli()
-		id, _, err := c.Order(ctx)
+		own, cancel := context.WithTimeout(ctx, visitTime)
+		id, _, err := c.Order(own)
+		cancel()
 		at := s.revoked.Load()
 		if err == nil && at > 0 && sent > at+standin.RevokeTime.Milliseconds() && s.fleet.Runs(id) > 0 {
 			s.broken("order %s ran %d ms after its key was taken away", id, sent-at)
