Copies pass over servers that were lost and not heard of since

Cause: while the store is away, servers that crash start again under ids that it can't list. Ruled out: going on from a copy before the prompt is read. Change: a server that was lost, or at whose address another answers, is unheard until it sends something; it is the last choice for copies and costs a stream the time to find out.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -156,7 +156,7 @@
 func (d *Directory) viewLocked(s *Server, now time.Time) View {
 	v := View{
 		Entry: s.Entry, Plain: s.plain, Failures: s.failures,
-		Latency: time.Duration(s.latency * float64(time.Second)), Suspect: now.Before(s.suspect),
+		Latency: time.Duration(s.latency * float64(time.Second)), Suspect: now.Before(s.suspect), Unheard: s.lostAt.After(s.heardAt),
 	}
 	if age := now.Sub(s.loadAt); age < loadLife {
 		v.Others = max(0, s.load.Running+s.load.Waiting-s.plain)
--- a/internal/rwbackend/directory_test.go
+++ b/internal/rwbackend/directory_test.go
@@ -169,3 +169,26 @@
 		require.Greater(t, view(t, d, "s0").Failures, 0.3)
 	})
 }
+
+// TestUnheard answers the load of servers that are lost while the store is away:
+// they start again under ids that it can't list, and what looks empty is gone.
+func TestUnheard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := directory("a", "b")
+		require.False(t, view(t, d, "s0").Unheard)
+		d.Lost("s0")
+		time.Sleep(time.Minute)
+		v := view(t, d, "s0")
+		require.True(t, v.Unheard, "time alone proves nothing")
+		require.False(t, v.Suspect)
+		d.Heard("s0")
+		require.False(t, view(t, d, "s0").Unheard)
+		time.Sleep(time.Second)
+		d.Misdirected("s0")
+		require.True(t, view(t, d, "s0").Unheard)
+		require.True(t, d.Suspect("s0"))
+		d.Answered("s0", false, 0, rwbackend.Load{})
+		require.False(t, view(t, d, "s0").Unheard)
+		require.False(t, d.Suspect("s0"))
+	})
+}
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -30,7 +30,7 @@
 		return
 	}
 	s.strikes, s.refusals = 0, 0
-	s.suspect = time.Time{}
+	s.suspect, s.heardAt = time.Time{}, time.Now()
 	s.observeLocked(failed)
 	if took > 0 {
 		if s.latency == 0 {
@@ -43,6 +43,15 @@
 	}
 }
 
+// Heard notes that a server sent the first event of a stream.
+func (d *Directory) Heard(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s, ok := d.servers[id]; ok {
+		s.heardAt = time.Now()
+	}
+}
+
 func (s *Server) observeLocked(failed bool) {
 	x := 0.0
 	if failed {
@@ -177,15 +186,26 @@
 	refusalShift = 6
 )
 
-// Avoid keeps new work from a server for a time, as it said it is full.
-func (d *Directory) Avoid(id string, wait time.Duration) {
+// Misdirected notes that another server answered at a server's address: it has
+// ended, or its entry is of an earlier life.
+func (d *Directory) Misdirected(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s, ok := d.servers[id]; ok && s.suspect.Before(time.Now().Add(wait)) {
-		s.suspect = time.Now().Add(wait)
+	s, ok := d.servers[id]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	s.lostAt = now
+	if s.suspect.Before(now.Add(misdirectedTime)) {
+		s.suspect = now.Add(misdirectedTime)
 	}
 }
 
+// misdirectedTime is how long a server at whose address another one answers is
+// avoided: what the store takes to list what has changed.
+const misdirectedTime = 3 * time.Second
+
 // Suspect reports whether a server is avoided now.
 func (d *Directory) Suspect(id string) bool {
 	d.mu.Lock()
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -35,6 +35,7 @@
 	refusals  int       // in a row
 	strikes   int       // losses in a row
 	lostAt    time.Time // of the last loss
+	heardAt   time.Time // when it last sent something
 	alarmedAt time.Time // when it was last looked at for the loss of others
 	leftAt    time.Time // when it was first seen leaving or gone
 	gone      bool      // its entry is no longer listed
@@ -50,6 +51,7 @@
 	Failures  float64
 	Latency   time.Duration // zero when unknown
 	Suspect   bool          // it was lost or silent a short while ago
+	Unheard   bool          // it was lost and has sent nothing since
 	Runs      int           // streams of all instances that it runs
 	Committed int           // tokens of memory that runs and copies take or will take
 	Backlog   int           // prompt tokens that it has yet to read
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -211,7 +211,7 @@
 func (c *call) classify(a answer, server string, took time.Duration) (answer, fate, error) {
 	if a.reply.NotRun {
 		if a.status == http.StatusMisdirectedRequest {
-			c.f.Directory.Avoid(server, avoidMisdirected)
+			c.f.Directory.Misdirected(server)
 		} else {
 			c.f.Directory.Refused(server, a.reply.Load)
 		}
@@ -227,12 +227,6 @@
 	return a, fateAnswered, nil
 }
 
-const (
-	// avoidMisdirected is how long an address that answers for another server is
-	// avoided: until its entry is gone from the store.
-	avoidMisdirected = 3 * time.Second
-)
-
 var errUnsound = rwerror.New(rwerror.KindFailed, "ask the service's operators", "the answer carries no signature or another encoding")
 
 // exchange sends the request and reads the whole answer.
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -71,7 +71,7 @@
 	if reply.NotRun {
 		switch {
 		case response.StatusCode == http.StatusMisdirectedRequest:
-			s.f.Directory.Avoid(n.server.ID, avoidMisdirected)
+			s.f.Directory.Misdirected(n.server.ID)
 		case n.from == "":
 			s.f.Directory.Refused(n.server.ID, reply.Load)
 		}
@@ -196,6 +196,7 @@
 func (s *stream) began(n next, took time.Duration) {
 	s.run.Begun = true
 	s.f.Notify(s.run)
+	s.f.Directory.Heard(n.server.ID)
 	s.saw(n.server, false, took)
 	if n.server.Backlog == 0 && n.from == "" && !s.ask.Resumed {
 		s.f.Directory.MeasureRead(n.read, took)
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -199,7 +199,7 @@
 		s.f.Count.resumed(where)
 	}
 	s.f.Log.Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
-		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "sent", s.sent)
+		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "resumed", s.ask.Resumed, "cursor", s.ask.Cursor, "sent", s.sent)
 }
 
 // ended tells peers that this instance no longer relays the stream.
--- a/internal/rwpick/pick_test.go
+++ b/internal/rwpick/pick_test.go
@@ -97,6 +97,22 @@
 		p, _ := rwpick.Stream(servers, engine, need, untried)
 		require.Equal(t, "3", p.Server.ID)
 	})
+	t.Run("no copy at a server that was lost and not heard of", func(t *testing.T) {
+		servers := fleet(9)
+		for i := range servers {
+			servers[i].Unheard = servers[i].Zone == "1"
+			servers[i].Committed = 20000
+			if servers[i].Unheard {
+				servers[i].Committed = 0 // what was lost looks empty
+			}
+		}
+		for range 50 {
+			p, ok := rwpick.Stream(servers, engine, need, untried)
+			require.True(t, ok)
+			require.True(t, p.Copied)
+			require.NotEqual(t, "1", p.Copy.Zone)
+		}
+	})
 	t.Run("no suspect holds a copy", func(t *testing.T) {
 		servers := fleet(2)
 		servers[1].Suspect = true
--- a/internal/rwpick/stream.go
+++ b/internal/rwpick/stream.go
@@ -80,6 +80,9 @@
 	cost := float64(s.Backlog) + runCost*float64(s.Runs) + placeTie*rand.Float64()
 	cost += fillCost * float64(s.Committed) / float64(max(1, engine.Memory))
 	cost += failureTokens * max(0, s.Failures-failureNoise)
+	if s.Unheard {
+		cost += unheardTokens
+	}
 	if s.Suspect {
 		cost += suspectTokens
 	}
@@ -89,6 +92,9 @@
 const (
 	// suspectTokens makes a suspect the last choice.
 	suspectTokens = 1e7
+	// unheardTokens is what a server that was lost and not heard of since costs if
+	// it is still away: the time to find that out, in prompt tokens.
+	unheardTokens = 1000
 	// failureTokens is the reading that a server which fails every stream is
 	// worth: a failed stream reads its prompt again.
 	failureTokens = 50_000
@@ -107,6 +113,9 @@
 		if s.Zone == from.Zone {
 			cost += sameZoneTokens
 		}
+		if s.Unheard {
+			cost += 2 * sameZoneTokens
+		}
 		if cost < least {
 			least, best = cost, s
 		}
@@ -115,7 +124,9 @@
 }
 
 // sameZoneTokens is more than a server's memory: a copy in the same zone is lost
-// with its stream, and is better than none only against single losses.
+// with its stream, and is better than none only against single losses. One at a
+// server that was lost, and may have started again under an id that the store
+// could not list yet, is worth least.
 const sameZoneTokens = 1e7
 
 // FirstBy estimates when a stream's first event comes.
