Callers who come back unknown go on where a server lists their prompt

Cause: when all instances are killed or lose power, what they knew of streams is lost with them. Change: such a caller's instance asks the servers of the service which parts of prompts they hold, all at once, at most once a second, and waits 150 ms at most; the stream goes to a holder that is sound and has room. Left: instances that start are asked before they know the servers; next.

--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -82,9 +82,9 @@
 	return news
 }
 
-// Holds reports whether a server can still hold what was sent to it at a time:
+// Keeps reports whether a server can still hold what was sent to it at a time:
 // it is listed in the same life and was not lost since.
-func (d *Directory) Holds(id string, incarnation int64, since time.Time) bool {
+func (d *Directory) Keeps(id string, incarnation int64, since time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s, ok := d.servers[id]
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"ragwortwall/pkg/rwset"
 )
 
 // Entry is what the store lists of a server. Entries are immutable.
@@ -41,6 +43,8 @@
 	gone      bool      // its entry is no longer listed
 	loads     map[string]*Run
 	copies    map[string]*Run
+	parts     rwset.Set[string] // of prompts, as it last listed them
+	partsAt   time.Time
 }
 
 // View is a copy of what is known of a server, for decisions.
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -66,7 +66,7 @@
 		return
 	}
 	k.checked = now
-	held := k.target.ID != "" && s.f.Directory.Holds(k.target.ID, k.target.Incarnation, k.since)
+	held := k.target.ID != "" && s.f.Directory.Keeps(k.target.ID, k.target.Incarnation, k.since)
 	if held && (!k.ordered || now.Sub(k.renewed) < renewInterval) {
 		return
 	}
--- /dev/null
+++ b/internal/rwforward/finder_test.go
@@ -0,0 +1,107 @@
+package rwforward_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwforward"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// lists are model servers that only list what they hold.
+type lists struct {
+	rwforward.Engines
+	held  map[string][]string // by address
+	takes map[string]time.Duration
+	born  int64
+	calls atomic.Int64
+}
+
+func (l *lists) Parts(ctx context.Context, server string) (int64, []string, error) {
+	l.calls.Add(1)
+	select {
+	case <-time.After(l.takes[server]):
+	case <-ctx.Done():
+		return 0, nil, ctx.Err()
+	}
+	if l.held[server] == nil {
+		return 0, nil, errors.New("not there")
+	}
+	return l.born, l.held[server], nil
+}
+
+func finder(servers int, l *lists) *rwforward.Finder {
+	d := rwbackend.NewDirectory("self")
+	for n := range servers {
+		d.Put(rwbackend.Entry{ID: fmt.Sprint("s", n), Service: "model", Address: fmt.Sprint("a", n), Slots: 12, Incarnation: 1})
+	}
+	return &rwforward.Finder{Engines: l, Directory: d}
+}
+
+// TestFind answers the load of callers who all come back at once after the loss
+// of every instance: what the instances knew of their streams is gone.
+func TestFind(t *testing.T) {
+	t.Run("all callers share one search", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			const servers, callers = 40, 60
+			l := &lists{held: map[string][]string{}, takes: map[string]time.Duration{}, born: 1}
+			for n := range servers {
+				address := fmt.Sprint("a", n)
+				l.held[address], l.takes[address] = []string{fmt.Sprint("part", n), "shared"}, 20*time.Millisecond
+			}
+			f := finder(servers, l)
+			found := make([][]string, callers)
+			var work sync.WaitGroup
+			for n := range callers {
+				work.Go(func() { found[n] = f.Find(t.Context(), "model", fmt.Sprint("part", n%servers)) })
+			}
+			work.Wait()
+			time.Sleep(time.Second / 2)
+			for n := range callers {
+				require.Equal(t, []string{fmt.Sprint("s", n%servers)}, found[n])
+			}
+			require.EqualValues(t, servers, l.calls.Load())
+			require.Empty(t, f.Find(t.Context(), "model", "nowhere"))
+			require.EqualValues(t, servers, l.calls.Load(), "asked again within a second")
+			time.Sleep(time.Second)
+			require.Empty(t, f.Find(t.Context(), "model", "nowhere"))
+			require.EqualValues(t, 2*servers, l.calls.Load())
+		})
+	})
+	t.Run("a slow server holds up nobody", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &lists{held: map[string][]string{"a0": {"x"}, "a1": {"y"}}, takes: map[string]time.Duration{"a1": time.Minute}}
+			f := finder(2, l)
+			began := time.Now()
+			require.Equal(t, []string{"s0"}, f.Find(t.Context(), "model", "x"))
+			require.Zero(t, time.Since(began))
+			require.Empty(t, f.Find(t.Context(), "model", "y"))
+			require.Less(t, time.Since(began), 200*time.Millisecond)
+			time.Sleep(time.Second)
+		})
+	})
+	t.Run("another life holds nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &lists{held: map[string][]string{"a0": {"x"}}, born: 2}
+			require.Empty(t, finder(1, l).Find(t.Context(), "model", "x"))
+			time.Sleep(time.Second)
+		})
+	})
+	t.Run("a server that was lost since holds nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := finder(1, &lists{held: map[string][]string{"a0": {"x"}}})
+			require.NotEmpty(t, f.Find(t.Context(), "model", "x"))
+			time.Sleep(time.Millisecond)
+			f.Directory.Lost("s0")
+			require.Empty(t, f.Directory.Holding("model", "x"))
+		})
+	})
+}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -59,6 +59,7 @@
 	Versions  *rwversion.Book
 	Wire      Wire
 	Engines   Engines
+	Finder    *Finder
 	Budget    *rwretry.Budget
 	Notify    func(rwbackend.Run) // tells peers of a run
 	Lost      func(server string) // tells peers of a server that was lost
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
@@ -25,6 +26,7 @@
 	lastAt  time.Time     // of the last event
 	pause   time.Duration // the longest between two events, whoever sent them
 	last    error
+	holders []string // servers that hold its prompt, if they were asked
 }
 
 // The causes for which a server is given up.
@@ -41,8 +43,9 @@
 	c.f.Budget.First(c.service.Name, repeatShare)
 	s := &stream{call: c, order: rwrelay.NewOrder(c.ask.Cursor, c.ask.Resumed)}
 	defer s.ended()
-	if c.ask.Resumed {
-		s.adopt()
+	if c.ask.Resumed && !s.adopt() {
+		s.holders = c.f.Finder.Find(c.r.Context(), c.service.Name, c.ask.Part)
+		c.f.Log.Info("stream comes back unknown", "request", c.ask.ID, "holders", s.holders, "cursor", c.ask.Cursor, "took", time.Since(c.began).Seconds())
 	}
 	for {
 		next, err := s.next()
@@ -78,13 +81,15 @@
 }
 
 // adopt takes over the memory of a stream whose caller came back with a cursor.
-func (s *stream) adopt() {
+// It reports whether it is known.
+func (s *stream) adopt() bool {
 	run, ok := s.f.Directory.Latest(s.ask.Part)
 	if !ok || run.ID == s.ask.ID {
-		return
+		return false
 	}
 	s.run = run
 	s.f.Log.Info("stream comes back", "request", s.ask.ID, "run", run.ID, "server", run.Server, "copy", run.Copy, "owner", run.Owner, "cursor", s.ask.Cursor)
+	return true
 }
 
 // next chooses where the stream goes on: at its copy if there is one, else
@@ -108,6 +113,9 @@
 	if n, ok := s.atCopy(servers, engine, need, tried); ok {
 		return n, nil
 	}
+	if place, ok := rwpick.Holder(servers, engine, need, s.holders, tried); ok {
+		return next{server: place.Server, place: place}, nil
+	}
 	place, ok := rwpick.Stream(servers, engine, need, tried)
 	if !ok {
 		if s.last != nil {
@@ -193,6 +201,9 @@
 	s.keeper.placed(n)
 	if s.sent > 1 || s.ask.Resumed {
 		where := "anew"
+		if slices.Contains(s.holders, n.server.ID) {
+			where = "prompt"
+		}
 		if n.from != "" {
 			where = "copy"
 		}
--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -55,6 +55,9 @@
 	// Copy copies the memory of a run at a server to another server, or what is
 	// new since the last call, and returns the handle of the copy.
 	Copy(ctx context.Context, server, run, target string) (handle string, err error)
+	// Parts returns the parts of prompts that a server holds, and its incarnation
+	// (zero when it does not say).
+	Parts(ctx context.Context, server string) (incarnation int64, parts []string, err error)
 	// Free gives up a copy, at both ends.
 	Free(ctx context.Context, server, handle string) error
 }
--- a/internal/rwpick/pick_test.go
+++ b/internal/rwpick/pick_test.go
@@ -142,6 +142,25 @@
 	require.GreaterOrEqual(t, len(taken), instances/4)
 }
 
+// TestHolder answers the load of callers who come back after the loss of every
+// instance: their prompts are not read again where a sound server holds them.
+func TestHolder(t *testing.T) {
+	servers := fleet(4)
+	place, ok := rwpick.Holder(servers, engine, need, []string{"2"}, untried)
+	require.True(t, ok)
+	require.Equal(t, "2", place.Server.ID)
+	require.True(t, place.Copied)
+	t.Run("none holds it", func(t *testing.T) {
+		_, ok := rwpick.Holder(servers, engine, need, nil, untried)
+		require.False(t, ok)
+	})
+	t.Run("not where it is full, suspect or tried", func(t *testing.T) {
+		servers[0].Committed, servers[1].Suspect, servers[2].Unheard = engine.Memory, true, true
+		_, ok := rwpick.Holder(servers, engine, need, []string{"0", "1", "2", "3"}, func(id string) bool { return id == "3" })
+		require.False(t, ok)
+	})
+}
+
 func TestHopeless(t *testing.T) {
 	const token = 4 * time.Millisecond
 	require.True(t, rwpick.Hopeless(2*time.Second, time.Second, token, 1200))
--- a/internal/rwpick/stream.go
+++ b/internal/rwpick/stream.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
@@ -66,6 +67,26 @@
 	return p, true
 }
 
+// Holder places a stream at one of the servers that hold its prompt, if one of
+// them is sound and has room.
+func Holder(servers []rwbackend.View, engine EngineSize, need Need, holders []string, tried func(id string) bool) (Placement, bool) {
+	var p Placement
+	best := math.Inf(1)
+	for _, s := range servers {
+		if !slices.Contains(holders, s.ID) || tried(s.ID) || s.Suspect || s.Unheard || !fits(s, engine, need) {
+			continue
+		}
+		if cost := streamCost(s, engine); cost < best {
+			best, p.Server = cost, s
+		}
+	}
+	if math.IsInf(best, 1) {
+		return p, false
+	}
+	p.Copy, p.Copied = Copy(servers, engine, need, p.Server, tried)
+	return p, true
+}
+
 // EngineSize is the size of a service's model servers.
 type EngineSize struct {
 	Slots  int
