Instances that start wait for the servers too, and leave peers that lack them

They followed each other: a peer's answer counted as of use though it lacked the servers, and a peer that lacks something waits a second for it. Meanwhile callers got 503 for having no server (99), and prompts were searched at no server.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -71,6 +71,7 @@
 	f.peers.Kind, f.peers.Apply, f.peers.Log = "instances", i.members.Apply, i.Log
 	f.moves.Kind, f.moves.Apply, f.moves.Log = "moves", i.moves.apply, i.Log
 	f.servers.Slow, f.peers.Slow, f.moves.Slow = true, true, true
+	f.peers.Optional, f.moves.Optional = true, true
 	watch := func(held *rwfeed.Held, source rwfeed.Source, wait, pause time.Duration) *rwfeed.Watcher {
 		w := &rwfeed.Watcher{Held: held, Source: source, Task: f.watches, Wait: wait, Gather: pause, Back: f.back, Log: i.Log}
 		if state := f.state; state != nil {
@@ -123,7 +124,7 @@
 		f.turnAt = time.Time{}
 		return false
 	}
-	if f.settings.Table() == nil {
+	if _, listed := f.servers.Age(); f.settings.Table() == nil || !listed {
 		if f.instance.Settings.First {
 			return time.Since(f.started) > storeCalm
 		}
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -153,6 +153,7 @@
 		s.Table = nil
 	}
 	s.Age = age
+	_, s.Listed = i.feeds.servers.Age()
 	return s
 }
 
@@ -169,8 +170,7 @@
 // ready reports whether callers are served as well here as elsewhere.
 func (i *Instance) ready() bool {
 	state := i.state()
-	_, listed := i.feeds.servers.Age()
-	return state.Table != nil && listed && state.Age <= state.Keys && !i.leaving.Load()
+	return state.Table != nil && state.Listed && state.Age <= state.Keys && !i.leaving.Load()
 }
 
 func (i *Instance) sweep(ctx context.Context) {
--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -200,13 +200,59 @@
 	require.Equal(t, int64(7), s.Table().Version)
 }
 
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// TestFollowAfterStart answers the load of all instances starting at once: a peer
+// that knows the settings but not yet the servers is left for one that knows both.
+func TestFollowAfterStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer cancel()
+	start := func(state, servers bool) string {
+		address := free(t)
+		held := []*rwfeed.Held{newHeld(&recorder{}), newHeld(&recorder{})}
+		held[1].Kind = "servers"
+		for n, known := range []bool{state, servers} {
+			if known {
+				held[n].Offer(rwfeed.Batch{Revision: 3, Whole: true, Changes: []rwfeed.Change{change("a", 3)}}, rwtime.Now())
+			}
+		}
+		server := &rwfeed.Server{Address: address, Held: held, Log: logr.Discard()}
+		work.Go(func() { server.Run(ctx) })
+		work.Go(func() {
+			rwtime.Every(ctx, 100*time.Millisecond, func() { held[0].Offer(rwfeed.Batch{Revision: 3}, rwtime.Now()) })
+		})
+		return address
+	}
+	peers := []string{start(true, false), start(true, true)}
+	for _, address := range peers {
+		require.Eventually(t, func() bool {
+			conn, err := net.Dial("tcp", address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err == nil
+		}, 10*time.Second, 5*time.Millisecond)
+	}
+	var got recorder
+	state, servers := newHeld(&recorder{}), newHeld(&got)
+	servers.Kind, servers.Slow = "servers", true
+	follower := &rwfeed.Follower{Held: []*rwfeed.Held{state, servers}, Peers: func() []string { return peers }, Log: logr.Discard()}
+	work.Go(func() { follower.Run(ctx) })
+	require.Eventually(t, func() bool { return got.now()["a"] == 3 }, 10*time.Second, 5*time.Millisecond)
+}
+
 // TestFollowPeer: an instance follows another one; what it gets is as old as it
 // is there.
 func TestFollowPeer(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
+	address := free(t)
 	var near, far recorder
 	there, here := newHeld(&far), newHeld(&near)
 	server := &rwfeed.Server{Address: address, Held: []*rwfeed.Held{there}, Log: logr.Discard()}
--- a/internal/rwfeed/held.go
+++ b/internal/rwfeed/held.go
@@ -30,10 +30,11 @@
 // Held is what is held of one kind of object. Set the exported fields before
 // first use.
 type Held struct {
-	Kind  string
-	Slow  bool        // confirmed so rarely that its age tells nothing
-	Apply func(Batch) // called in the order of revisions, by one goroutine at a time
-	Log   logr.Logger
+	Kind     string
+	Slow     bool        // confirmed so rarely that its age tells nothing
+	Optional bool        // callers can be served without it
+	Apply    func(Batch) // called in the order of revisions, by one goroutine at a time
+	Log      logr.Logger
 
 	mu        sync.Mutex
 	objects   map[string]object
@@ -53,6 +54,12 @@
 // times the pause between two calls of a follower.
 const goneLife = time.Minute
 
+// lacking reports whether nothing is held of a kind that is needed to serve.
+func (h *Held) lacking() bool {
+	_, known := h.Age()
+	return !known && !h.Optional
+}
+
 // Offer takes in a batch that was true at a time. It reports whether it was not
 // older than what is held.
 func (h *Held) Offer(b Batch, at rwtime.Boot) bool {
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -144,6 +144,13 @@
 const (
 	// followWait is how long a peer waits for a change.
 	followWait = time.Second
+	// lackWait is the same for a follower that lacks what it can't serve without,
+	// as after a start: the peer may lack it too.
+	lackWait = 100 * time.Millisecond
+	// lackPause is the pause after the first round of a start in which no peer was
+	// of use: callers wait, and the peers have started too. It doubles up to
+	// roleInterval.
+	lackPause = 20 * time.Millisecond
 	// followMore is for the answer, over that wait.
 	followMore = 700 * time.Millisecond
 	// peerDial is how long a connection to a peer may take.
@@ -173,6 +180,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.drop()
+	pause := lackPause
 	for ctx.Err() == nil {
 		good := false
 		for _, address := range f.inOrder() {
@@ -181,7 +189,8 @@
 			}
 		}
 		if !good {
-			rwtime.Sleep(ctx, roleInterval)
+			rwtime.Sleep(ctx, pause)
+			pause = min(2*pause, roleInterval)
 		}
 	}
 }
@@ -205,6 +214,9 @@
 	ask := Ask{Have: map[string]int64{}, Wait: followWait.Milliseconds()}
 	for _, h := range f.Held {
 		ask.Have[h.Kind] = h.Revision()
+		if h.lacking() {
+			ask.Wait = lackWait.Milliseconds()
+		}
 	}
 	began := rwtime.Now()
 	var answer Answer
@@ -223,7 +235,7 @@
 		part := answer.Kinds[h.Kind]
 		at := began + rwtime.Boot(part.Fresh*int64(time.Millisecond))
 		taken := part.Known && h.Offer(part.Batch, at)
-		useful = useful && (h.Slow || taken && rwtime.Since(at) <= staleMost)
+		useful = useful && !h.lacking() && (h.Slow || taken && rwtime.Since(at) <= staleMost)
 		changes = changes || taken && len(part.Changes) > 0
 	}
 	if useful {
@@ -231,7 +243,7 @@
 		f.heard = time.Now()
 		f.mu.Unlock()
 	}
-	if changes {
+	if changes && useful {
 		rwtime.Sleep(ctx, followGather)
 	}
 	return useful
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -32,8 +32,8 @@
 	// repeatShare is the part of first tries that one instance adds in repeats:
 	// under the users' bound for the fleet.
 	repeatShare = 0.6
-	// settleTime bounds the wait for the first settings after a start: several
-	// calls to the store.
+	// settleTime bounds the wait for the first settings and servers after a start:
+	// several calls to the store.
 	settleTime = 400 * time.Millisecond
 	settleTick = 10 * time.Millisecond
 	// retrySoon is told to callers who may come back at once to another instance.
@@ -44,9 +44,10 @@
 
 // State is the desired state in force.
 type State struct {
-	Table *rwroute.Table
-	Age   time.Duration // since it was confirmed
-	Keys  time.Duration // age from which requests with keys are refused
+	Table  *rwroute.Table
+	Age    time.Duration // since it was confirmed
+	Keys   time.Duration // age from which requests with keys are refused
+	Listed bool          // the backend servers are known
 }
 
 // Forwarder answers callers' requests. Set the exported fields before first use.
@@ -119,7 +120,7 @@
 // admit finds the route and the organisation.
 func (c *call) admit() error {
 	if !c.settled() {
-		return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After", "the settings are not known yet").WithRetryAfter(2 * retrySoon)
+		return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After", "the settings or the servers are not known yet").WithRetryAfter(2 * retrySoon)
 	}
 	state := c.state
 	target := c.target()
@@ -159,13 +160,13 @@
 	return nil
 }
 
-// settled waits a moment for the settings of an instance that has just started:
-// they come sooner than a caller that is sent away.
+// settled waits a moment for the settings and the servers of an instance that has
+// just started: they come sooner than a caller that is sent away.
 func (c *call) settled() bool {
-	for c.state.Table == nil && time.Since(c.began) < settleTime && rwtime.Sleep(c.r.Context(), settleTick) {
+	for (c.state.Table == nil || !c.state.Listed) && time.Since(c.began) < settleTime && rwtime.Sleep(c.r.Context(), settleTick) {
 		c.state = c.f.State()
 	}
-	return c.state.Table != nil
+	return c.state.Table != nil && c.state.Listed
 }
 
 // unless returns a final error, but a passing one when this instance's settings
