Model servers that start again while the store is away are used by what they say of themselves

Ruled out: the time within which an address stays with its service (2 s); a crash is longer away than that, but for the shortest. Change: a 421 names who answered. That server is asked what it is; if the models that it names are offered by one service alone, it is put among the listed ones until a list that could know of it lacks it. Not during a version move, not if it is leaving, not if it was listed and is gone.

--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -19,6 +19,13 @@
 	Cold        time.Duration // how much longer it is slow after its start
 }
 
+// Said is what a model server says of itself when it is asked.
+type Said struct {
+	Incarnation int64
+	Models      []string
+	Ready       bool // it is neither leaving nor of another use than running requests
+}
+
 // Load is what a server said of its load with an answer.
 type Load struct {
 	Running, Waiting, Slots int
--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -87,7 +87,7 @@
 	servers := watch(&f.servers, i.Stores.Servers, serversWait, gather)
 	watch(&f.peers, i.Stores.Members, membersWait, time.Second)
 	watch(&f.moves, i.Stores.Moves, movesWait, 0)
-	f.list.Regained = servers.Regained
+	f.list.Regained, f.list.Age = servers.Regained, f.servers.Age
 	held := []*rwfeed.Held{&f.states, &f.servers, &f.peers, &f.moves}
 	f.follower = rwfeed.Follower{Held: held, Peers: f.tries, Log: i.Log}
 	f.server = rwfeed.Server{Address: i.Settings.Instances, Held: held, Log: i.Log}
--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,6 +156,7 @@
 		var regained time.Time
 		s := &rwfeed.Servers{
 			Directory: d, Regained: func() time.Time { return regained }, Log: logr.Discard(),
+			Age: func() (time.Duration, bool) { return 0, true },
 			Decode: func(name string, _ json.RawMessage) (rwbackend.Entry, error) {
 				return rwbackend.Entry{ID: name, Service: "m", Address: name, Incarnation: 1}, nil
 			},
@@ -180,6 +182,48 @@
 	})
 }
 
+// TestAdopt answers the load of servers that start again while the store is away:
+// they are used unlisted, until a list that could know of them lacks them.
+func TestAdopt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := rwbackend.NewDirectory("self")
+		var confirmed atomic.Value // time.Time
+		confirmed.Store(time.Now())
+		s := &rwfeed.Servers{
+			Directory: d, Log: logr.Discard(),
+			Regained: func() time.Time { return time.Time{} },
+			Age:      func() (time.Duration, bool) { return time.Since(confirmed.Load().(time.Time)), true },
+			Decode: func(name string, _ json.RawMessage) (rwbackend.Entry, error) {
+				return rwbackend.Entry{ID: name, Service: "m", Address: name, Incarnation: 1}, nil
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		adopt := func(id string) error {
+			return s.Adopt(rwbackend.Entry{ID: id, Service: "m", Address: "a", Incarnation: 2})
+		}
+		require.Error(t, adopt("early"), "before any list")
+		s.Apply(rwfeed.Batch{Changes: []rwfeed.Change{change("a", 1), change("b", 1)}})
+		require.NoError(t, adopt("next"))
+		require.Error(t, adopt("next"), "twice")
+		require.ElementsMatch(t, []string{"next", "b"}, d.IDs(), "it has taken the address")
+		time.Sleep(time.Minute)
+		require.Contains(t, d.IDs(), "next", "the store is away")
+		confirmed.Store(time.Now())
+		time.Sleep(time.Second)
+		require.NotContains(t, d.IDs(), "next", "the store does not know it")
+		s.Apply(rwfeed.Batch{Changes: []rwfeed.Change{{Name: "b", Gone: true}}})
+		require.Error(t, adopt("b"), "what was taken out comes back by the list alone")
+		require.NoError(t, adopt("other"))
+		s.Apply(rwfeed.Batch{Changes: []rwfeed.Change{change("other", 2)}})
+		confirmed.Store(time.Now().Add(time.Minute))
+		time.Sleep(2 * time.Minute)
+		require.Contains(t, d.IDs(), "other", "it is listed now")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestSettings: a state that can't be read leaves the last good one in force.
 func TestSettings(t *testing.T) {
 	s := &rwfeed.Settings{Log: logr.Discard(), Decode: func(_ string, spec json.RawMessage) (*rwroute.Table, error) {
--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
@@ -21,19 +22,26 @@
 type Servers struct {
 	Directory *rwbackend.Directory
 	Decode    func(name string, spec json.RawMessage) (rwbackend.Entry, error)
-	Regained  func() time.Time // when the store was last regained after an outage
+	Regained  func() time.Time             // when the store was last regained after an outage
+	Age       func() (time.Duration, bool) // since the list was confirmed; false if it never was
 	Log       logr.Logger
 
 	mu      sync.Mutex
-	missing map[string]bool // gone from the list, perhaps for the outage alone
+	missing map[string]bool      // gone from the list, perhaps for the outage alone
+	gone    map[string]time.Time // taken out, and when
+	adopted map[string]time.Time // not listed yet, and since when they are used
 }
 
+// goneMemory is how long a server that was taken out is remembered: far longer
+// than a server that leaves goes on answering.
+const goneMemory = 10 * time.Minute
+
 // Apply takes in changes of the list.
 func (s *Servers) Apply(b Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.missing == nil {
-		s.missing = map[string]bool{}
+		s.missing, s.gone, s.adopted = map[string]bool{}, map[string]time.Time{}, map[string]time.Time{}
 	}
 	for _, c := range b.Changes {
 		if c.Gone {
@@ -47,6 +55,7 @@
 			continue
 		}
 		delete(s.missing, c.Name)
+		delete(s.adopted, c.Name)
 		old, known := s.Directory.Entry(c.Name)
 		s.Directory.Put(entry)
 		if !known || old.Leaving != entry.Leaving || old.Incarnation != entry.Incarnation {
@@ -72,10 +81,51 @@
 
 func (s *Servers) dropLocked(name, cause string) {
 	delete(s.missing, name)
+	delete(s.adopted, name)
+	s.gone[name] = time.Now()
 	s.Directory.Remove(name)
 	s.Log.Info("server gone", "server", name, "cause", cause)
 }
 
+// Adopt puts in a server that the store does not list yet. It stays until the
+// store's list, confirmed late enough to know of it, still lacks it.
+func (s *Servers) Adopt(e rwbackend.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, gone := s.gone[e.ID]; gone || s.missing[e.ID] {
+		return rwerror.New(rwerror.KindConflict, "wait until the store lists it again", "server %s was listed and is gone", e.ID)
+	}
+	if _, known := s.Directory.Entry(e.ID); known {
+		return rwerror.New(rwerror.KindConflict, "use it as it is listed", "server %s is known", e.ID)
+	}
+	if s.adopted == nil {
+		return rwerror.New(rwerror.KindUnavailable, "wait for the list", "no server was listed yet")
+	}
+	s.adopted[e.ID] = time.Now()
+	s.Directory.Put(e)
+	return nil
+}
+
+// unlistedLocked drops servers that were put in unlisted and that the store does
+// not know.
+func (s *Servers) unlistedLocked() {
+	age, known := s.Age()
+	if !known {
+		return
+	}
+	confirmed := time.Now().Add(-age)
+	for name, since := range s.adopted {
+		if confirmed.Sub(since) > returnTime {
+			s.dropLocked(name, "never listed")
+		}
+	}
+	for name, at := range s.gone {
+		if time.Since(at) > goneMemory {
+			delete(s.gone, name)
+		}
+	}
+}
+
 // Run drops servers whose entries have not come back, until ctx ends.
 func (s *Servers) Run(ctx context.Context) {
 	const interval = 250 * time.Millisecond // a small part of returnTime
@@ -85,6 +135,7 @@
 func (s *Servers) settle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unlistedLocked()
 	if time.Since(s.Regained()) < returnTime {
 		return
 	}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -61,6 +61,7 @@
 	Wire      Wire
 	Engines   Engines
 	Finder    *Finder
+	Newcomers *Newcomers
 	Budget    *rwretry.Budget
 	Notify    func(rwbackend.Run) // tells peers of a run
 	Lost      func(server string) // tells peers of a server that was lost
--- /dev/null
+++ b/internal/rwforward/newcomer_test.go
@@ -0,0 +1,72 @@
+package rwforward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwforward"
+	"ragwortwall/internal/rwroute"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// said are model servers that only say what they are.
+type said struct {
+	rwforward.Engines
+	rwbackend.Said
+	err   error
+	calls int
+}
+
+func (s *said) Describe(context.Context, string) (rwbackend.Said, error) {
+	s.calls++
+	return s.Said, s.err
+}
+
+// TestNewcomer: a server that answers in another's place is used only where there
+// is no doubt whose work it does.
+func TestNewcomer(t *testing.T) {
+	table := rwroute.New(rwroute.Parts{Services: []rwroute.Service{{Name: "model", Engine: rwroute.Engine{Slots: 1, Models: []string{"m"}}}}})
+	old := rwbackend.Entry{ID: "old", Service: "model", Address: "a", Zone: "z", Slots: 12, Incarnation: 5, Leaving: true}
+	sound := rwbackend.Said{Incarnation: 6, Models: []string{"m"}, Ready: true}
+	for name, c := range map[string]struct {
+		says  said
+		table *rwroute.Table
+		id    string
+		want  bool
+	}{
+		"sound":              {said{Said: sound}, table, "new", true},
+		"no id":              {said{Said: sound}, table, "", false},
+		"the same id":        {said{Said: sound}, table, "old", false},
+		"no answer":          {said{Said: sound, err: errors.New("silent")}, table, "new", false},
+		"another's models":   {said{Said: rwbackend.Said{Incarnation: 6, Models: []string{"x"}, Ready: true}}, table, "new", false},
+		"no models":          {said{Said: rwbackend.Said{Incarnation: 6, Ready: true}}, table, "new", false},
+		"leaving":            {said{Said: rwbackend.Said{Incarnation: 6, Models: []string{"m"}}}, table, "new", false},
+		"an earlier life":    {said{Said: rwbackend.Said{Incarnation: 4, Models: []string{"m"}, Ready: true}}, table, "new", false},
+		"settings not known": {said{Said: sound}, nil, "new", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var got []rwbackend.Entry
+				n := &rwforward.Newcomers{Engines: &c.says, Table: func() *rwroute.Table { return c.table }, Log: logr.Discard()}
+				n.Adopt = func(e rwbackend.Entry) error {
+					got = append(got, e)
+					return nil
+				}
+				n.Met(old, c.id)
+				n.Met(old, c.id)
+				synctest.Wait()
+				require.LessOrEqual(t, c.says.calls, 1, "asked twice at once")
+				if !c.want {
+					require.Empty(t, got)
+					return
+				}
+				require.Equal(t, []rwbackend.Entry{{ID: "new", Service: "model", Address: "a", Zone: "z", Slots: 12, Incarnation: 6}}, got)
+			})
+		})
+	}
+}
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -72,6 +72,9 @@
 		switch {
 		case response.StatusCode == http.StatusMisdirectedRequest:
 			s.f.Directory.Misdirected(n.server.ID)
+			if s.f.Versions.Allows(s.service.Name, s.ask.ID) == nil {
+				s.f.Newcomers.Met(n.server.Entry, reply.Server)
+			}
 		case n.from == "":
 			s.f.Directory.Refused(n.server.ID, reply.Load)
 		}
--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -39,6 +39,7 @@
 	Request   string // id of the request that it answers
 	Signature bool   // it carries the server's signature
 	NotRun    bool   // the server did not run the request
+	Server    string // id of the server that answered, where another one was meant
 	Load      rwbackend.Load
 }
 
@@ -58,6 +59,8 @@
 	// Parts returns the parts of prompts that a server holds, and its incarnation
 	// (zero when it does not say).
 	Parts(ctx context.Context, server string) (incarnation int64, parts []string, err error)
+	// Describe asks a server what it is.
+	Describe(ctx context.Context, server string) (rwbackend.Said, error)
 	// Free gives up a copy, at both ends.
 	Free(ctx context.Context, server, handle string) error
 }
--- a/internal/rwroute/table.go
+++ b/internal/rwroute/table.go
@@ -79,6 +79,7 @@
 
 // Engine is what the model servers of a service have in common.
 type Engine struct {
+	Models   []string      // that the servers have
 	Slots    int           // requests that run at once
 	Memory   int           // tokens that fit in a server's memory
 	Copies   bool          // a run's memory can be kept at a second server
@@ -173,6 +174,25 @@
 	return s, ok
 }
 
+// Provides reports whether a server that has the given models can only be one of
+// the service: the service offers all of them, and no other service offers any.
+func (t *Table) Provides(service string, models []string) bool {
+	if len(models) == 0 {
+		return false
+	}
+	for _, model := range models {
+		for name, s := range t.services {
+			if slices.Contains(s.Engine.Models, model) != (name == service) {
+				return false
+			}
+		}
+		if _, ok := t.services[service]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
--- a/internal/rwroute/table_test.go
+++ b/internal/rwroute/table_test.go
@@ -51,3 +51,26 @@
 	require.True(t, rwroute.Route{Kind: rwroute.KindStream, Resumable: true}.Repeatable())
 	require.True(t, rwroute.Route{Kind: rwroute.KindIdempotent}.Repeatable())
 }
+
+// TestProvides: a model tells a server's service only where no other offers it.
+func TestProvides(t *testing.T) {
+	model := func(name string, models ...string) rwroute.Service {
+		return rwroute.Service{Name: name, Engine: rwroute.Engine{Slots: 1, Models: models}}
+	}
+	table := rwroute.New(rwroute.Parts{Services: []rwroute.Service{model("a", "m", "n"), model("b", "n", "o"), {Name: "orders"}}})
+	for name, c := range map[string]struct {
+		service string
+		models  []string
+		want    bool
+	}{
+		"its own":           {"a", []string{"m"}, true},
+		"of two services":   {"a", []string{"n"}, false},
+		"one of them is":    {"a", []string{"m", "n"}, false},
+		"another's":         {"a", []string{"o"}, false},
+		"nobody's":          {"a", []string{"p"}, false},
+		"none":              {"orders", nil, false},
+		"service not known": {"c", []string{"m"}, false},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, table.Provides(c.service, c.models)) })
+	}
+}
