--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -36,7 +36,8 @@
 	// no settings at all: its seeds may be gone, and callers are waiting.
 	storeFirst = 200 * time.Millisecond
 	// storeCalm is the same when the whole system starts for the first time: no
-	// caller is there yet, and all would ask the store at once.
+	// caller is there yet, and all would ask the store at once. Until then the seeds
+	// watch, for all.
 	storeCalm = 3 * time.Second
 	// turnEach is the pause between two calls of the fleet to a store that does
 	// not answer, made by instances that are no watchers: together they ask no
@@ -109,6 +110,11 @@
 // seeds first, unless it is one of them.
 func (f *feeds) watches() bool {
 	members := &f.instance.members
+	if f.instance.Settings.First && time.Since(f.started) < storeCalm {
+		// The instances are only just listing themselves: whoever is the watcher of
+		// those that are known is soon the watcher no more.
+		return f.seed()
+	}
 	if members.Count() > 1 && members.Watches() || members.Count() == 1 && f.seed() {
 		return true
 	}
@@ -125,9 +131,6 @@
 		return false
 	}
 	if _, listed := f.servers.Age(); f.settings.Table() == nil || !listed {
-		if f.instance.Settings.First {
-			return time.Since(f.started) > storeCalm
-		}
 		return time.Since(f.started) > storeFirst
 	}
 	if time.Since(f.started) < storeAfter {
