--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -32,8 +32,8 @@
 	// storeAfter is how long a follower waits for its peers before it watches the
 	// store itself.
 	storeAfter = 900 * time.Millisecond
-	// storeFirst is the same for an instance that has just started, knows of no
-	// settings at all and reaches no seed: callers are waiting.
+	// storeFirst is the same for an instance that has just started and knows of
+	// no settings at all: its seeds may be gone, and callers are waiting.
 	storeFirst = 200 * time.Millisecond
 	// storeCalm is the same when the whole system starts for the first time: no
 	// caller is there yet, and all would ask the store at once. Until then the seeds
@@ -131,9 +131,6 @@
 		return false
 	}
 	if _, listed := f.servers.Age(); f.settings.Table() == nil || !listed {
-		if f.follower.Reached() {
-			return time.Since(f.started) > storeAfter
-		}
 		return time.Since(f.started) > storeFirst
 	}
 	if time.Since(f.started) < storeAfter {
@@ -156,19 +153,12 @@
 // know no more leave the asking to the watchers, mostly.
 func (f *feeds) back() time.Duration {
 	members := &f.instance.members
-	switch {
-	case f.settings.Table() == nil && f.follower.Reached() && !f.seed():
-		return lackBack
-	case members.Watches() || !f.follower.Reached():
+	if members.Watches() || !f.follower.Reached() {
 		return watcherBack
 	}
 	return min(turnMost, max(watcherBack, time.Duration(members.Count())*turnEach))
 }
 
-// lackBack is the pause of an instance that has just started, knows nothing and
-// reaches a seed that knows no more: the seeds ask more often, for all.
-const lackBack = 2 * time.Second
-
 // watcherBack is the longest pause of a watcher after failed calls: short enough
 // for a change to be in force within its bound after an outage.
 const watcherBack = 600 * time.Millisecond
