One decision on what follows a try, and one sender, for both interfaces

Cause: rwservice's proxy and the platform's forwarder each decided for themselves whether a request goes to another server, and sent with a client of their own. Change: rwattempt.Plan decides, without network, for both; rwservice sends through rwlink. rwnet.OnceClient, the trace of connections and a list of headers are gone. What changes on the own interface: a call that reached no server goes on to another one (it was refused); when repeats are used up a service's own failure is its answer (it was a 502 of ours).

--- a/internal/rwforward/doc.go
+++ b/internal/rwforward/doc.go
@@ -6,7 +6,7 @@
 // silence, rwretry bounds repeats. What a header is called is the Wire's
 // business.
 //
-// At most once: a request that must not run twice leaves for one server (once.go);
-// another one is tried only if no byte was sent or the server said that it did
-// not run it. No token twice: rwrelay.Order lets each event through once.
+// At most once: rwattempt.Plan sends a request that must not run twice to another
+// server only if no byte was sent or the server said that it did not run it. No
+// token twice: rwrelay.Order lets each event through once.
 package rwforward
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"ragwortwall/internal/rwattempt"
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
@@ -20,6 +21,7 @@
 
 // answer is a server's whole answer.
 type answer struct {
+	server string // its id
 	status int
 	header http.Header
 	body   []byte
@@ -31,51 +33,33 @@
 	return a.status >= 200 && a.status < 300 && a.reply.Signature && a.header.Get("Content-Encoding") == ""
 }
 
-// fate is what became of one try.
-type fate int
-
-const (
-	fateAnswered fate = iota // a whole answer of the server that ran it
-	fateNotRun               // the server said that it did not run it
-	fateUnsent               // no byte reached the server
-	fateUnknown              // it may have run
-	fateRefused              // it may not be sent at all: the error is final
-)
-
 // plain answers a request with one whole answer.
 func (c *call) plain() error {
 	c.f.Budget.First(c.service.Name, repeatShare)
+	plan := rwattempt.Plan[rwbackend.View, answer]{
+		Most: c.route.Attempts, Pick: c.pick, Try: c.try,
+		Again: func() bool { return c.f.Budget.Spend(c.service.Name) },
+		Wait:  func() bool { return c.left() > 0 && c.r.Context().Err() == nil },
+	}
+	var r rwattempt.Result[answer]
 	if c.route.Kind == rwroute.KindIdempotent {
-		return c.idempotent()
+		r = plan.Repeatable()
+	} else {
+		r = plan.Once()
+	}
+	if r.Fate != rwattempt.FateAnswered {
+		return r.Err
 	}
-	return c.once()
+	return c.deliver(r.Answer)
 }
 
-// once sends a request that must not run twice. Another server is tried only
-// while it is proved that none has run it.
-func (c *call) once() error {
-	for {
-		server, err := c.pick()
-		if err != nil {
-			return err
-		}
-		a, fate, err := c.try(server, time.Until(c.limit))
-		switch fate {
-		case fateAnswered:
-			return c.deliver(a, server.ID)
-		case fateUnsent:
-			continue
-		case fateRefused:
-			return err
-		case fateNotRun:
-			if c.sent < c.route.Attempts && c.f.Budget.Spend(c.service.Name) {
-				continue
-			}
-			return full(server.ID)
-		default:
-			return c.lost(server.ID, err)
-		}
+// patience is how long one server is waited for: a request that may run again is
+// given to another one when this one is slow.
+func (c *call) patience(server rwbackend.View) time.Duration {
+	if c.route.Kind == rwroute.KindIdempotent && c.sent+1 < c.route.Attempts {
+		return min(c.left(), rwpick.HedgeAfter(server.Latency, c.route.Aim))
 	}
+	return c.left()
 }
 
 func full(server string) error {
@@ -97,50 +81,6 @@
 		"backend server %s was lost after the request was sent: %v", server, cause).WithRan(rwerror.RanUnknown)
 }
 
-// idempotent sends a request that may run again, to another server if one fails
-// or is slow, as far as the route and the fleet's budget allow.
-func (c *call) idempotent() error {
-	var failure *answer
-	var last error
-	for c.sent < max(1, c.route.Attempts) {
-		if c.sent > 0 && !c.f.Budget.Spend(c.service.Name) {
-			break
-		}
-		server, err := c.pick()
-		if err != nil {
-			if last == nil {
-				last = err
-			}
-			break
-		}
-		wait := c.left()
-		if c.sent+1 < c.route.Attempts {
-			wait = min(wait, rwpick.HedgeAfter(server.Latency, c.route.Aim))
-		}
-		a, fate, err := c.try(server, wait)
-		if fate == fateAnswered && a.status < http.StatusInternalServerError {
-			return c.deliver(a, server.ID)
-		}
-		switch fate {
-		case fateRefused:
-			return err
-		case fateAnswered:
-			failure = &a
-		case fateNotRun:
-			last = full(server.ID)
-		default:
-			last = c.lost(server.ID, err)
-		}
-		if c.left() <= 0 || c.r.Context().Err() != nil {
-			break
-		}
-	}
-	if failure != nil {
-		return c.deliver(*failure, "")
-	}
-	return last
-}
-
 // pick chooses a server among those not tried.
 func (c *call) pick() (rwbackend.View, error) {
 	if c.left() <= 0 {
@@ -157,20 +97,23 @@
 }
 
 // try sends the request to one server and reads the whole answer.
-func (c *call) try(server rwbackend.View, wait time.Duration) (answer, fate, error) {
+func (c *call) try(server rwbackend.View) rwattempt.Result[answer] {
+	failed := func(fate rwattempt.Fate, err error) rwattempt.Result[answer] {
+		return rwattempt.Result[answer]{Fate: fate, Err: err}
+	}
 	if err := c.confirmed(); err != nil {
-		return answer{}, fateRefused, err
+		return failed(rwattempt.FateRefused, err)
 	}
 	ctx := c.r.Context()
 	if ctx.Err() != nil {
-		return answer{}, fateRefused, callerGone()
+		return failed(rwattempt.FateRefused, callerGone())
 	}
 	once := c.route.Kind == rwroute.KindOnce
 	if once {
 		// What must not run twice is not broken off because its caller left.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, c.patience(server))
 	defer cancel()
 	conn, reused, err := c.f.Pool.Get(ctx, server.Address, once, dialTime)
 	if err != nil {
@@ -178,7 +121,7 @@
 			c.f.Directory.Lost(server.ID)
 		}
 		c.note("not reached", server.ID, err)
-		return answer{}, fateUnsent, err
+		return failed(rwattempt.FateUnsent, unreached(server.ID, err))
 	}
 	c.sent++
 	c.f.Count.sent(c.route.Kind)
@@ -196,7 +139,7 @@
 			c.saw(server, true, 0)
 		}
 		c.note("broken off", server.ID, err)
-		return a, fateUnknown, err
+		return failed(rwattempt.FateUnknown, c.lost(server.ID, err))
 	}
 	if stop() {
 		c.f.Pool.Put(conn)
@@ -205,26 +148,27 @@
 	if !a.reply.NotRun {
 		c.saw(server, a.status >= http.StatusInternalServerError, took)
 	}
-	return c.classify(a, server.ID, took)
+	return c.classify(a, took)
 }
 
-func (c *call) classify(a answer, server string, took time.Duration) (answer, fate, error) {
+// classify judges a whole answer.
+func (c *call) classify(a answer, took time.Duration) rwattempt.Result[answer] {
 	if a.reply.NotRun {
 		if a.status == http.StatusMisdirectedRequest {
-			c.f.Directory.Misdirected(server)
+			c.f.Directory.Misdirected(a.server)
 		} else {
-			c.f.Directory.Refused(server, a.reply.Load)
+			c.f.Directory.Refused(a.server, a.reply.Load)
 		}
-		c.note("not run", server, nil)
-		return a, fateNotRun, nil
+		c.note("not run", a.server, nil)
+		return rwattempt.Result[answer]{Fate: rwattempt.FateNotRun, Err: full(a.server)}
 	}
 	failed := a.status >= http.StatusInternalServerError
-	c.f.Directory.Answered(server, failed, took, a.reply.Load)
+	c.f.Directory.Answered(a.server, failed, took, a.reply.Load)
 	if a.status < 300 && !a.sound() || !a.reply.Signature && a.status >= 300 {
-		c.note("unsound answer", server, nil)
-		return a, fateUnknown, errUnsound
+		c.note("unsound answer", a.server, nil)
+		return rwattempt.Result[answer]{Fate: rwattempt.FateUnknown, Err: c.lost(a.server, errUnsound)}
 	}
-	return a, fateAnswered, nil
+	return rwattempt.Result[answer]{Answer: a, Failed: failed}
 }
 
 var errUnsound = rwerror.New(rwerror.KindFailed, "ask the service's operators", "the answer carries no signature or another encoding")
@@ -241,11 +185,11 @@
 	if err != nil {
 		return answer{}, err
 	}
-	return answer{status: response.StatusCode, header: response.Header, body: body, reply: c.f.Wire.Reply(response.StatusCode, response.Header)}, nil
+	return answer{server: server, status: response.StatusCode, header: response.Header, body: body, reply: c.f.Wire.Reply(response.StatusCode, response.Header)}, nil
 }
 
 // deliver hands a whole answer to the caller.
-func (c *call) deliver(a answer, server string) error {
+func (c *call) deliver(a answer) error {
 	header := c.w.Header()
 	for name, values := range c.f.Wire.Answer(a.header) {
 		header[name] = values
@@ -256,7 +200,7 @@
 	took := time.Since(c.began)
 	c.f.Count.answered(c.route.Kind, a.status, took)
 	if c.sent > 1 || a.status >= http.StatusInternalServerError || err != nil || took > c.route.Aim {
-		c.f.Log.Info("answered", "request", c.ask.ID, "route", c.route.Name, "status", a.status, "server", server, "sent", c.sent, "took", took.Seconds())
+		c.f.Log.Info("answered", "request", c.ask.ID, "route", c.route.Name, "status", a.status, "server", a.server, "sent", c.sent, "took", took.Seconds())
 	}
 	return nil
 }
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -179,7 +179,7 @@
 	if s.begun || again || !reply.Signature {
 		return false, rwerror.New(rwerror.KindFailed, "send it again", "backend server %s answered %d", n.server.ID, response.StatusCode).WithRan(rwerror.RanYes)
 	}
-	return true, s.deliver(answer{status: response.StatusCode, header: response.Header, body: body, reply: reply}, n.server.ID)
+	return true, s.deliver(answer{server: n.server.ID, status: response.StatusCode, header: response.Header, body: body, reply: reply})
 }
 
 // head hands on the head of the first server's answer.
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -47,9 +47,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return New(c, address), nil
+}
+
+// New takes a connection that was opened to a server.
+func New(c net.Conn, address string) *Conn {
 	conn := &Conn{net: c, address: address, heard: time.Now()}
 	conn.reader = newReader(conn)
-	return conn, nil
+	return conn
 }
 
 func newReader(c *Conn) *bufio.Reader { return bufio.NewReaderSize(c, bufferSize) }
--- a/internal/rwlink/head.go
+++ b/internal/rwlink/head.go
@@ -6,8 +6,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"ragwortwall/pkg/rwset"
 )
 
+// PerConnection are the headers that concern one connection, of requests and of
+// answers. What is sent on to the next one carries none of them.
+var PerConnection = rwset.New("Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length")
+
 // appendHead writes the head of a request. The body is framed by its length
 // alone, whatever framing the caller used.
 func appendHead(b []byte, r Request) []byte {
--- a/internal/rwnet/net.go
+++ b/internal/rwnet/net.go
@@ -75,14 +75,6 @@
 	return &http.Client{Transport: transport(n), CheckRedirect: noRedirect}
 }
 
-// OnceClient returns a client that opens a connection for each request, so that
-// net/http has no broken idle connection on which to try a request again.
-func OnceClient(n Network) *http.Client {
-	t := transport(n)
-	t.DisableKeepAlives = true
-	return &http.Client{Transport: t, CheckRedirect: noRedirect}
-}
-
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func transport(n Network) *http.Transport {
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -141,7 +141,7 @@
 			Slots:  i.slots,
 			Ledger: i.ledger,
 			Budget: i.budget,
-			Once:   rwnet.OnceClient(i.Network),
+			Dial:   i.Network.Dial,
 			Log:    i.Log.WithName("service"),
 		},
 		Counters: i.counters,
--- a/internal/rwservice/doc.go
+++ b/internal/rwservice/doc.go
@@ -1,6 +1,5 @@
-// Package rwservice routes calls to plain services. Idempotent calls are
-// repeated within the route's retry budget. Any other call runs at most once: its
-// record is written before it is sent, it is sent on a connection of its own
-// that is never used again, and it is not repeated unless it is proved that no
-// byte of it left.
+// Package rwservice routes calls to plain services of the own interface. What
+// follows on a try is decided in package rwattempt, as for the platform's callers,
+// and calls are sent by package rwlink. Its own part is the record: a call that
+// must not run twice is written down before it is sent, and its outcome after.
 package rwservice
--- a/internal/rwservice/proxy.go
+++ b/internal/rwservice/proxy.go
@@ -1,24 +1,28 @@
 package rwservice
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"ragwortwall/internal/rwattempt"
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwonce"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwslot"
 	"ragwortwall/internal/rwtree"
+	"ragwortwall/pkg/rwset"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"github.com/juju/errors"
 )
 
 const (
@@ -50,7 +54,7 @@
 	Slots  Slots
 	Ledger Ledger
 	Budget *rwretry.Budget
-	Once   *http.Client // opens a connection for each call and repeats nothing
+	Dial   func(ctx context.Context, address string) (net.Conn, error) // opens a connection to a server
 	Log    logr.Logger
 }
 
@@ -61,6 +65,7 @@
 	body    []byte
 	route   rwtree.NamedRoute
 	caller  rwtree.Caller
+	tried   map[string]bool // names of servers
 }
 
 // answer is what a service answered.
@@ -77,23 +82,24 @@
 		rwerror.Write(w, rwerror.New(rwerror.KindTooLarge, "send at most 2 MiB", "the body can't be read: %v", err))
 		return
 	}
-	c := &call{proxy: p, request: r, body: body, route: route, caller: caller}
-	var a answer
+	c := &call{proxy: p, request: r, body: body, route: route, caller: caller, tried: map[string]bool{}}
+	var result rwattempt.Result[answer]
 	if route.Idempotent(r.Method) {
-		a, err = c.repeatable()
+		p.Budget.First(route.Key(), route.RetryBudget())
+		result = c.plan(triesMost).Repeatable()
 	} else {
-		a, err = c.once()
+		result = c.once()
 	}
-	if err != nil {
-		rwerror.Write(w, err)
+	if result.Fate != rwattempt.FateAnswered {
+		rwerror.Write(w, result.Err)
 		return
 	}
-	a.write(w)
+	result.Answer.write(w)
 }
 
 func (a answer) write(w http.ResponseWriter) {
 	for name, values := range a.header {
-		if !hopByHop[name] {
+		if !rwlink.PerConnection.Has(name) {
 			w.Header()[name] = values
 		}
 	}
@@ -101,102 +107,79 @@
 	_, _ = w.Write(a.body)
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-	"Authorization": true, "Expect": true, "Proxy-Connection": true,
-}
-
-// repeatable runs an idempotent call, again on another server if one fails and
-// the route's budget allows.
-func (c *call) repeatable() (answer, error) {
-	c.proxy.Budget.First(c.route.Key(), c.route.RetryBudget())
-	var last error
-	tried := map[string]bool{}
-	for try := range triesMost {
-		if try > 0 && !c.proxy.Budget.Spend(c.route.Key()) {
-			break
-		}
-		server, release, err := c.server(tried)
-		if err != nil {
-			return answer{}, earlier(last, err)
-		}
-		tried[server.Name] = true
-		a, _, err := c.send(c.request.Context(), server)
-		release()
-		if err == nil && a.status < http.StatusInternalServerError {
-			return a, nil
-		}
-		if err == nil && try == triesMost-1 {
-			return a, nil
-		}
-		last = err
-		if err == nil {
-			last = rwerror.New(rwerror.KindFailed, "ask the service's operators", "backend server %s answered %d", server.Name, a.status).WithRan(rwerror.RanYes)
-		}
-		if c.request.Context().Err() != nil {
-			break
-		}
+func (c *call) plan(most int) rwattempt.Plan[place, answer] {
+	return rwattempt.Plan[place, answer]{
+		Most: most, Pick: c.server, Try: c.try,
+		Again: func() bool { return c.proxy.Budget.Spend(c.route.Key()) },
+		Wait:  func() bool { return c.request.Context().Err() == nil },
 	}
-	return answer{}, last
-}
-
-func earlier(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
 }
 
 // once runs a call that must not run twice.
-func (c *call) once() (answer, error) {
+func (c *call) once() rwattempt.Result[answer] {
 	key := c.request.Header.Get("Idempotency-Key")
 	if key == "" && !c.route.Keyless {
-		return answer{}, rwerror.New(rwerror.KindInvalid, "send an Idempotency-Key that is new for each call and the same for its repeats",
-			"%s on this route runs at most once and needs a key", c.request.Method)
+		return refused(rwerror.New(rwerror.KindInvalid, "send an Idempotency-Key that is new for each call and the same for its repeats",
+			"%s on this route runs at most once and needs a key", c.request.Method))
 	}
 	if len(key) > keyMost {
-		return answer{}, rwerror.New(rwerror.KindInvalid, "use a key of at most 256 bytes", "the header Idempotency-Key is too long")
+		return refused(rwerror.New(rwerror.KindInvalid, "use a key of at most 256 bytes", "the header Idempotency-Key is too long"))
 	}
-	server, release, err := c.server(nil)
+	// A call that gets no slot writes no record.
+	first, err := c.server()
 	if err != nil {
-		return answer{}, err
+		return refused(err)
+	}
+	plan := c.plan(1)
+	plan.Pick = func() (place, error) {
+		if first.release == nil {
+			return c.server()
+		}
+		taken := first
+		first = place{}
+		return taken, nil
 	}
-	defer release()
 	if key == "" {
-		a, _, err := c.sendOnce(server)
-		return a, err
+		return plan.Once()
 	}
-	return c.recorded(server, rwonce.Call{Key: c.recordKey(key), Body: c.digest()})
+	result := c.recorded(plan, rwonce.Call{Key: c.recordKey(key), Body: c.digest()})
+	if first.release != nil {
+		first.release()
+	}
+	return result
+}
+
+func refused(err error) rwattempt.Result[answer] {
+	return rwattempt.Result[answer]{Fate: rwattempt.FateRefused, Err: err}
 }
 
 // recorded sends a call between the two writes of its record.
-func (c *call) recorded(server rwtree.NamedServer, id rwonce.Call) (answer, error) {
+func (c *call) recorded(plan rwattempt.Plan[place, answer], id rwonce.Call) rwattempt.Result[answer] {
 	nonce := rwonce.NewNonce()
 	ctx, cancel := context.WithTimeout(c.request.Context(), recordTime)
 	ticket, outcome, err := c.proxy.Ledger.Begin(ctx, id, nonce)
 	cancel()
 	if err != nil {
-		return answer{}, err
+		return refused(err)
 	}
 	if outcome != nil {
-		return replay(*outcome), nil
+		return rwattempt.Result[answer]{Answer: replay(*outcome)}
 	}
 	if !ticket {
-		return answer{}, rwerror.New(rwerror.KindInternal, "come back later", "the record was neither begun nor known").WithRan(rwerror.RanUnknown)
+		return refused(rwerror.New(rwerror.KindInternal, "come back later", "the record was neither begun nor known").WithRan(rwerror.RanUnknown))
 	}
 	// From here on the call may have left: the caller's leaving changes nothing.
-	a, sent, err := c.sendOnce(server)
-	switch {
-	case err == nil:
+	result := plan.Once()
+	switch result.Fate {
+	case rwattempt.FateAnswered:
+		a := result.Answer
 		c.end(id, nonce, rwonce.StateDone, rwonce.Outcome{Status: a.status, Type: a.header.Get("Content-Type"), Payload: a.body})
-	case !sent:
-		c.end(id, nonce, rwonce.StateNotRun, rwonce.Outcome{})
+	case rwattempt.FateUnknown:
+		c.proxy.Log.Info("outcome of a call unknown", "route", c.route.Key(), "cause", result.Err.Error())
 	default:
-		c.proxy.Log.Info("outcome of a call unknown", "server", server.Name, "route", c.route.Key(), "cause", err.Error())
+		c.end(id, nonce, rwonce.StateNotRun, rwonce.Outcome{})
 	}
-	return a, err
+	return result
 }
 
 // end writes the outcome. When it can't be written the record stays sent, and
@@ -236,12 +219,18 @@
 	return h.Sum64()
 }
 
-// server gets a slot at one of the route's servers.
-func (c *call) server(tried map[string]bool) (rwtree.NamedServer, func(), error) {
+// place is a slot at a backend server.
+type place struct {
+	server  rwtree.NamedServer
+	release func()
+}
+
+// server gets a slot at one of the route's servers that was not tried.
+func (c *call) server() (place, error) {
 	tree := c.proxy.Tree()
 	var last error = rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After",
 		"no backend server of route %s can take the call", c.route.Key()).WithRetryAfter(retryServers)
-	for _, name := range c.inOrder(tried) {
+	for _, name := range c.inOrder() {
 		server, ok := tree.Server(name)
 		if !ok || server.Leaving {
 			continue
@@ -252,15 +241,16 @@
 		}
 		err := c.proxy.Slots.Acquire(c.request.Context(), name, ask)
 		if err == nil {
-			return server, func() { go c.proxy.Slots.Release(name, ask.Lease, rwslot.OutcomeDone, 0) }, nil
+			c.tried[name] = true
+			return place{server, func() { go c.proxy.Slots.Release(name, ask.Lease, rwslot.OutcomeDone, 0) }}, nil
 		}
 		last = err
 	}
-	return rwtree.NamedServer{}, nil, last
+	return place{}, last
 }
 
 // inOrder lists the servers that answer, the least loaded first.
-func (c *call) inOrder(tried map[string]bool) []string {
+func (c *call) inOrder() []string {
 	type candidate struct {
 		name string
 		used int
@@ -268,7 +258,7 @@
 	var best []candidate
 	for _, name := range c.route.ServerNames() {
 		load, known := c.proxy.Slots.Load(name)
-		if tried[name] || known && (load.Down || load.Leaving) {
+		if c.tried[name] || known && (load.Down || load.Leaving) {
 			continue
 		}
 		at := len(best)
@@ -286,62 +276,57 @@
 	return names
 }
 
-// sendOnce sends the call whether or not the caller stays.
-func (c *call) sendOnce(server rwtree.NamedServer) (answer, bool, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.request.Context()), c.route.Timeout.Or(rwtree.DefaultTimeout))
-	defer cancel()
-	return c.send(ctx, server)
-}
-
-// send sends the call to a server. It reports whether any byte may have left.
-func (c *call) send(ctx context.Context, server rwtree.NamedServer) (answer, bool, error) {
-	connected := false
-	ctx = traceConnected(ctx, &connected)
-	out, err := c.outgoing(ctx, server)
-	if err != nil {
-		return answer{}, false, err
+// try sends the call to a server, on a connection of its own, and reads the whole
+// answer. A call that must not run twice goes on whether or not its caller stays.
+func (c *call) try(p place) rwattempt.Result[answer] {
+	defer p.release()
+	ctx := c.request.Context()
+	if !c.route.Idempotent(c.request.Method) {
+		ctx = context.WithoutCancel(ctx)
 	}
-	response, err := c.proxy.Once.Do(out)
+	limit := c.route.Timeout.Or(rwtree.DefaultTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	raw, err := c.proxy.Dial(ctx, p.server.Address)
 	if err != nil {
-		return answer{}, connected, c.lost(server, connected, err)
+		return rwattempt.Result[answer]{Fate: rwattempt.FateUnsent, Err: rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After",
+			"the call was not run: backend server %s could not be reached", p.server.Name).WithRetryAfter(retryServers).WithCause(err)}
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, answerMost))
+	conn := rwlink.New(raw, p.server.Address)
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, conn.End)
+	defer stop()
+	a, err := c.exchange(conn, p.server.Address, limit)
 	if err != nil {
-		return answer{}, true, c.lost(server, true, err)
-	}
-	return answer{status: response.StatusCode, header: response.Header, body: body}, true, nil
-}
-
-func (c *call) lost(server rwtree.NamedServer, sent bool, cause error) error {
-	if !sent {
-		return rwerror.New(rwerror.KindUnavailable, "come back after the time in Retry-After",
-			"the call was not run: backend server %s could not be reached", server.Name).WithRetryAfter(retryServers).WithCause(cause)
+		return rwattempt.Result[answer]{Fate: rwattempt.FateUnknown, Err: rwerror.New(rwerror.KindUnknown,
+			"send the same call with the same key again for the outcome, or ask the service for its status; use no other key",
+			"backend server %s was lost after the call was sent", p.server.Name).WithRan(rwerror.RanUnknown).WithRetryAfter(retryServers).WithCause(err)}
 	}
-	return rwerror.New(rwerror.KindUnknown, "send the same call with the same key again for the outcome, or ask the service for its status; use no other key",
-		"backend server %s was lost after the call was sent", server.Name).WithRan(rwerror.RanUnknown).WithRetryAfter(retryServers).WithCause(cause)
+	return rwattempt.Result[answer]{Answer: a, Failed: a.status >= http.StatusInternalServerError}
 }
 
-// outgoing is the request to the service. Its body can't be read twice, so that
-// net/http has nothing to send again.
-func (c *call) outgoing(ctx context.Context, server rwtree.NamedServer) (*http.Request, error) {
-	target := "http://" + server.Address + c.request.URL.RequestURI()
-	out, err := http.NewRequestWithContext(ctx, c.request.Method, target, onceBody{bytes.NewReader(c.body)})
-	if err != nil {
-		return nil, rwerror.New(rwerror.KindInvalid, "correct the URL", "%v", err)
-	}
-	out.ContentLength = int64(len(c.body))
-	if len(c.body) == 0 && c.route.Idempotent(c.request.Method) {
-		out.Body = http.NoBody
+// exchange sends the call and reads the whole answer.
+func (c *call) exchange(conn *rwlink.Conn, host string, limit time.Duration) (answer, error) {
+	request := rwlink.Request{
+		Method: c.request.Method, Target: c.request.URL.RequestURI(), Host: host, Header: http.Header{}, Body: c.body,
 	}
 	for name, values := range c.request.Header {
-		if !hopByHop[name] {
-			out.Header[name] = values
+		if !rwlink.PerConnection.Has(name) && !kept.Has(name) {
+			request.Header[name] = values
 		}
 	}
-	out.Header.Set("Organisation", c.caller.Name)
-	return out, nil
+	request.Header.Set("Organisation", c.caller.Name)
+	response, _, err := conn.Exchange(request, func(time.Duration) (time.Duration, error) { return limit, nil }, nil)
+	if err != nil {
+		return answer{}, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerMost))
+	if err != nil {
+		return answer{}, errors.Trace(err)
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: body}, nil
 }
 
-// onceBody is a body that net/http can neither rewind nor take for an empty one.
-type onceBody struct{ io.Reader }
+// kept are the headers of a call that are meant for this system alone.
+var kept = rwset.New("Authorization", "Expect")
--- /dev/null
+++ b/internal/rwservice/proxy_test.go
@@ -0,0 +1,172 @@
+package rwservice_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ragwortwall/internal/rwobject"
+	"ragwortwall/internal/rwonce"
+	"ragwortwall/internal/rwretry"
+	"ragwortwall/internal/rwservice"
+	"ragwortwall/internal/rwslot"
+	"ragwortwall/internal/rwtree"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+)
+
+// slots gives a slot at any server, the first by name first.
+type slots struct{ held int }
+
+func (s *slots) Acquire(context.Context, string, rwslot.Ask) error {
+	s.held++
+	return nil
+}
+func (s *slots) Release(string, string, rwslot.Outcome, time.Duration) {}
+func (s *slots) Load(string) (rwslot.Load, bool)                       { return rwslot.Load{}, false }
+
+// ledger keeps what was written of one call.
+type ledger struct {
+	mu     sync.Mutex
+	states []rwonce.State
+}
+
+func (l *ledger) Begin(context.Context, rwonce.Call, string) (bool, *rwonce.Outcome, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.states = append(l.states, rwonce.StateSent)
+	return true, nil, nil
+}
+
+func (l *ledger) End(_ context.Context, _ rwonce.Call, _ string, state rwonce.State, _ rwonce.Outcome) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.states = append(l.states, state)
+	return nil
+}
+
+// service is the backend servers of one route.
+type service struct {
+	mu      sync.Mutex
+	calls   []string // names of servers, in the order of what reached them
+	headers http.Header
+}
+
+// serve calls a service of two servers through a proxy. Each behaves as its
+// handler; nil is a server that can't be reached.
+func serve(t *testing.T, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
+	t.Helper()
+	s, l := &service{}, &ledger{}
+	team := rwtree.Team{Servers: map[string]rwtree.Server{}, Routes: map[string]rwtree.Route{}}
+	route := rwtree.Route{Path: "/orders/"}
+	for n, handler := range handlers {
+		name := string(rune('a' + n))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		team.Servers[name] = rwtree.Server{Address: listener.Addr().String(), Zone: "z", Capacity: 1}
+		route.Servers = append(route.Servers, name)
+		if handler == nil {
+			require.NoError(t, listener.Close())
+			continue
+		}
+		server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.mu.Lock()
+			s.calls, s.headers = append(s.calls, name), r.Header
+			s.mu.Unlock()
+			handler(w, r)
+		})}
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
+	}
+	team.Routes["orders"] = route
+	tree, err := rwtree.Merge(map[string]rwobject.Object{
+		rwtree.RootName: rwobject.New(rwobject.KindSettings, rwtree.RootName, rwtree.Root{Signing: []string{strings.Repeat("00", 16)}}),
+		"team":          rwobject.New(rwobject.KindSettings, "team", team),
+	})
+	require.NoError(t, err)
+	proxy := &rwservice.Proxy{
+		Tree: func() rwtree.Tree { return tree }, Slots: &slots{}, Ledger: l, Budget: &rwretry.Budget{}, Log: logr.Discard(),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		},
+	}
+	request := httptest.NewRequest(method, "/orders/new?x=1", strings.NewReader("order"))
+	request.Header.Set("Idempotency-Key", "k1")
+	request.Header.Set("Authorization", "Bearer secret")
+	request.Header.Set("Connection", "close")
+	w := httptest.NewRecorder()
+	named, ok := tree.Route("team/orders")
+	require.True(t, ok)
+	proxy.ServeService(w, request, rwtree.Caller{Team: "team", Name: "coop"}, named)
+	return w, s, l
+}
+
+func good(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(w, r.Method+" "+r.RequestURI+" "+string(body))
+}
+
+func bad(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "sorry")
+}
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestOnce(t *testing.T) {
+	t.Run("answered", func(t *testing.T) {
+		w, s, l := serve(t, http.MethodPost, good, good)
+		require.Equal(t, "POST /orders/new?x=1 order", w.Body.String())
+		require.Len(t, s.calls, 1)
+		require.Equal(t, []rwonce.State{rwonce.StateSent, rwonce.StateDone}, l.states)
+		require.Equal(t, "coop", s.headers.Get("Organisation"))
+		require.Empty(t, s.headers.Get("Authorization"))
+	})
+	t.Run("lost after it was sent", func(t *testing.T) {
+		w, s, l := serve(t, http.MethodPost, cut, good)
+		require.Equal(t, http.StatusBadGateway, w.Code)
+		require.Len(t, s.calls, 1)
+		require.Equal(t, []rwonce.State{rwonce.StateSent}, l.states, "its outcome stays unknown")
+	})
+	t.Run("not reached, and sent to another", func(t *testing.T) {
+		w, s, l := serve(t, http.MethodPost, nil, good)
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Len(t, s.calls, 1)
+		require.Equal(t, []rwonce.State{rwonce.StateSent, rwonce.StateDone}, l.states)
+	})
+	t.Run("reached nobody", func(t *testing.T) {
+		w, _, l := serve(t, http.MethodPost, nil, nil)
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+		require.Equal(t, []rwonce.State{rwonce.StateSent, rwonce.StateNotRun}, l.states)
+	})
+	t.Run("a failure is its answer", func(t *testing.T) {
+		w, s, _ := serve(t, http.MethodPost, bad, good)
+		require.Equal(t, "sorry", w.Body.String())
+		require.Len(t, s.calls, 1)
+	})
+}
+
+func TestRepeatable(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{"lost": cut, "failed": bad, "not reached": nil} {
+		t.Run(name, func(t *testing.T) {
+			w, _, l := serve(t, http.MethodGet, first, good)
+			require.Equal(t, http.StatusOK, w.Code)
+			require.Empty(t, l.states)
+		})
+	}
+	t.Run("failed everywhere", func(t *testing.T) {
+		w, s, _ := serve(t, http.MethodGet, bad, bad)
+		require.Equal(t, http.StatusInternalServerError, w.Code)
+		require.Equal(t, "sorry", w.Body.String())
+		require.Len(t, s.calls, 2)
+	})
+}
