Lines about what went well are left out first when there are too many

Change: lines of streams placed and ended and of servers listed are routine, and bounded by 32 kB each 100 ms; refusals and failures go on to the buffer's end. Test: TestRoutineFirst.

--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -8,6 +8,7 @@
 
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlog"
 	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
@@ -59,7 +60,7 @@
 		old, known := s.Directory.Entry(c.Name)
 		s.Directory.Put(entry)
 		if !known || old.Leaving != entry.Leaving || old.Incarnation != entry.Incarnation {
-			s.Log.Info("server listed", "server", c.Name, "service", entry.Service, "zone", entry.Zone, "address", entry.Address,
+			s.Log.V(rwlog.Routine).Info("server listed", "server", c.Name, "service", entry.Service, "zone", entry.Zone, "address", entry.Address,
 				"version", entry.Version, "leaving", entry.Leaving, "revision", c.Revision)
 		}
 	}
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -9,6 +9,7 @@
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwlog"
 	"ragwortwall/internal/rwpick"
 	"ragwortwall/internal/rwrelay"
 	"ragwortwall/internal/rwroute"
@@ -243,6 +244,6 @@
 	}
 	s.f.Count.longest(s.pause)
 	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
-	s.f.Log.Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent,
+	s.f.Log.V(rwlog.Routine).Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent,
 		"first", s.firstAt.Sub(s.call.began).Seconds(), "pause", s.pause.Seconds(), "took", time.Since(s.call.began).Seconds())
 }
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -7,6 +7,7 @@
 
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlog"
 	"ragwortwall/internal/rwpick"
 	"ragwortwall/internal/rwrelay"
 
@@ -209,7 +210,7 @@
 		}
 		s.f.Count.resumed(where)
 	}
-	s.f.Log.Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
+	s.f.Log.V(rwlog.Routine).Info("stream placed", "request", s.ask.ID, "server", n.server.ID, "zone", n.server.Zone, "backlog", n.server.Backlog,
 		"committed", n.server.Committed, "runs", n.server.Runs, "copy", s.run.Copy, "from", n.from, "run", n.run, "events", s.events, "resumed", s.ask.Resumed, "cursor", s.ask.Cursor, "sent", s.sent)
 }
 
--- a/internal/rwlog/log.go
+++ b/internal/rwlog/log.go
@@ -19,6 +19,10 @@
 	// bufferMost bounds the lines that wait for the reader, in bytes: some
 	// seconds of a busy instance's lines.
 	bufferMost = 256 << 10
+	// routineMost bounds the routine lines of one flushInterval, in bytes: some
+	// 1,500 lines a second, a hundred times those of an instance on a busy day.
+	// Refusals and failures go on beyond it.
+	routineMost = 32 << 10
 	// flushInterval is how long lines gather before they are written.
 	flushInterval = 100 * time.Millisecond
 )
@@ -29,6 +33,7 @@
 
 	mu      sync.Mutex
 	pending []byte
+	routine int // bytes of routine lines among them
 	spare   []byte
 	left    int // lines left out
 	wake    chan struct{}
@@ -47,6 +52,26 @@
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.takeLocked(line)
+	return len(line), nil
+}
+
+// routineWriter takes lines that are left out first.
+type routineWriter struct{ *Writer }
+
+func (r routineWriter) Write(line []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.routine+len(line) > routineMost {
+		r.left++
+		return len(line), nil
+	}
+	r.routine += len(line)
+	r.takeLocked(line)
+	return len(line), nil
+}
+
+func (w *Writer) takeLocked(line []byte) {
 	switch {
 	case w.closed || len(w.pending)+len(line) > bufferMost:
 		w.left++
@@ -57,7 +82,6 @@
 		default:
 		}
 	}
-	return len(line), nil
 }
 
 // Sync does nothing: lines are on their way.
@@ -90,7 +114,7 @@
 func (w *Writer) flush() {
 	w.mu.Lock()
 	lines, left := w.pending, w.left
-	w.pending, w.left = w.spare[:0], 0
+	w.pending, w.left, w.routine = w.spare[:0], 0, 0
 	w.mu.Unlock()
 	if left > 0 {
 		lines = append(lines, `{"msg":"lines left out","count":`+strconv.Itoa(left)+"}\n"...)
@@ -104,10 +128,17 @@
 	w.mu.Unlock()
 }
 
+// Routine is the verbosity of lines about what went well, which are left out first
+// when there are too many.
+const Routine = 1
+
 // New returns a log that writes JSON lines.
 func New(w *Writer) logr.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.TimeEncoderOfLayout("2006-01-02T15:04:05.000Z07:00")
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zapcore.InfoLevel)
-	return zapr.NewLogger(zap.New(core))
+	encoder := zapcore.NewJSONEncoder(config)
+	routine := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l == zapcore.DebugLevel })
+	return zapr.NewLogger(zap.New(zapcore.NewTee(
+		zapcore.NewCore(encoder, w, zapcore.InfoLevel), zapcore.NewCore(encoder, routineWriter{w}, routine),
+	)))
 }
--- a/internal/rwlog/log_test.go
+++ b/internal/rwlog/log_test.go
@@ -41,6 +41,28 @@
 	require.Contains(t, string(content), `"msg":"lines left out"`)
 }
 
+// TestRoutineFirst answers a flood of lines about what went well: these are left
+// out, and the refusal in their midst is not.
+func TestRoutineFirst(t *testing.T) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	writer := rwlog.NewWriter(w)
+	log := rwlog.New(writer)
+	for n := range 20_000 {
+		log.V(rwlog.Routine).Info("stream placed", "request", n, "cause", strings.Repeat("x", 40))
+	}
+	log.Info("refused", "request", "r1")
+	go func() {
+		writer.Close(time.Minute)
+		_ = w.Close()
+	}()
+	content, err := io.ReadAll(r)
+	require.NoError(t, err)
+	require.Contains(t, string(content), `"msg":"refused","request":"r1"`)
+	require.Contains(t, string(content), `"msg":"lines left out"`)
+	require.Contains(t, string(content), `"msg":"stream placed","request":0`)
+}
+
 func TestLines(t *testing.T) {
 	var out bytes.Buffer
 	writer := rwlog.NewWriter(&out)
