Large instances watch and relay for the others

Cause: watchers and relays were picked by hash alone; on the grown site two instances a zone have four times the processor and twenty times the link of the others, and the busiest of the small ones stood at 71% at 300 instances. Change: instances list the memory that they may use; the largest of a zone watch, and notices are handed on by those that are larger than the smallest, if there are two. Test: TestLargerFirst.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -85,7 +85,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	i.boundMemory()
 	i.directory = rwbackend.NewDirectory(i.Settings.Name)
-	i.members.Self, i.members.Zone, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Log
+	i.members.Self, i.members.Zone, i.members.Memory, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Settings.Memory, i.Log
 	i.exchange.Self, i.exchange.Life, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.Notices
 	i.exchange.Members, i.exchange.Directory, i.exchange.Poison, i.exchange.Log = &i.members, i.directory, &i.poison, i.Log
 	i.moves.instance = i
@@ -111,7 +111,9 @@
 // join lists this instance in the store, unless it is listed already.
 func (i *Instance) join(ctx context.Context) {
 	const again = time.Second // between tries while the store is away
-	member := rwpeer.Member{Name: i.Settings.Name, Zone: i.Settings.Zone, Instances: i.Settings.Instances, Notices: i.Settings.Notices}
+	member := rwpeer.Member{
+		Name: i.Settings.Name, Zone: i.Settings.Zone, Instances: i.Settings.Instances, Notices: i.Settings.Notices, Memory: i.Settings.Memory,
+	}
 	for began := time.Now(); time.Since(began) < joinTime; {
 		if _, known := i.feeds.peers.Age(); known || !rwtime.Sleep(ctx, roleTime) {
 			break
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -19,18 +19,20 @@
 	Zone      string `json:"zone"`
 	Instances string `json:"instances,omitempty"` // address for calls of other instances
 	Notices   string `json:"notices"`             // address for datagrams
+	Memory    int    `json:"memory,omitempty"`    // bytes that it may use: larger instances work for the others
 }
 
 // Members are the other instances.
 type Members struct {
-	Self string
-	Zone string // of this instance
-	Log  logr.Logger
+	Self   string
+	Zone   string // of this instance
+	Memory int    // bytes that this instance may use
+	Log    logr.Logger
 
 	mu    sync.Mutex
 	known map[string]Member
 	own   Member              // this instance as listed
-	zones map[string][]Member // the known ones, replaced whole; nil when out of date
+	zones map[string][]Member // the known ones, the largest first, replaced whole; nil when out of date
 }
 
 // Apply takes in changes of the list.
@@ -67,19 +69,23 @@
 }
 
 // watchersLocked returns the watchers of a zone, one for each followersMost of its
-// instances: the same ones wherever the same instances are known.
+// instances, the largest first: the same ones wherever the same instances are known.
 func (m *Members) watchersLocked(zone string) []string {
-	var names []string
+	all := slices.Clone(m.zonesLocked()[zone])
 	if zone == m.Zone {
-		names = append(names, m.Self)
+		all = append(all, Member{Name: m.Self, Memory: m.Memory})
+		slices.SortFunc(all, larger)
 	}
-	for _, member := range m.known {
-		if member.Zone == zone {
-			names = append(names, member.Name)
-		}
+	names := make([]string, (len(all)+followersMost-1)/followersMost)
+	for n := range names {
+		names[n] = all[n].Name
 	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return names[:(len(names)+followersMost-1)/followersMost]
+	return names
+}
+
+// larger orders instances by size, and those of a size by rank.
+func larger(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Memory, a.Memory), cmp.Compare(rank(a.Name), rank(b.Name)))
 }
 
 // rank orders the instances for watching.
@@ -125,19 +131,49 @@
 	return others
 }
 
-// Zones returns the other instances by their availability zones.
+// Zones returns the other instances by their availability zones, the largest first.
 func (m *Members) Zones() map[string][]Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.zonesLocked()
+}
+
+func (m *Members) zonesLocked() map[string][]Member {
 	if m.zones == nil {
 		m.zones = map[string][]Member{}
 		for _, member := range m.known {
 			m.zones[member.Zone] = append(m.zones[member.Zone], member)
 		}
+		for _, members := range m.zones {
+			slices.SortFunc(members, larger)
+		}
 	}
 	return m.zones
 }
 
+// Relays returns those of a zone's instances, the largest first, that hand notices
+// on within it: those that are larger than the smallest, if there are two, else all.
+func Relays(members []Member) []Member {
+	n := len(members)
+	for n > 0 && members[n-1].Memory == members[len(members)-1].Memory {
+		n--
+	}
+	if n < relaysLeast {
+		return members
+	}
+	return members[:n]
+}
+
+// Large reports whether this instance is larger than the smallest of its zone: it
+// hands its own notices on itself.
+func (m *Members) Large() bool {
+	zone := m.Zones()[m.Zone]
+	return len(zone) > 0 && m.Memory > zone[len(zone)-1].Memory
+}
+
+// relaysLeast keeps one lost relay from keeping all news from its zone.
+const relaysLeast = 2
+
 // Listed reports whether this instance is listed as given.
 func (m *Members) Listed(own Member) bool {
 	m.mu.Lock()
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -259,14 +259,15 @@
 // spread sends a notice to all instances, to large zones by one of theirs.
 func (x *Exchange) spread(n Notice) {
 	for zone, members := range x.Members.Zones() {
-		if len(members) <= directMost {
+		if len(members) <= directMost || zone == x.Members.Zone && x.Members.Large() {
 			x.post(zone, n)
 			continue
 		}
 		relay := n
 		relay.Relay = true
-		at := rand.IntN(len(members))
-		x.send(members[at:at+1], relay)
+		relays := Relays(members)
+		at := rand.IntN(len(relays))
+		x.send(relays[at:at+1], relay)
 	}
 }
 
--- a/internal/rwpeer/peer_test.go
+++ b/internal/rwpeer/peer_test.go
@@ -56,6 +56,42 @@
 	}
 }
 
+// TestLargerFirst answers the load of a fleet of a few large and many small
+// instances: what is done for the others is done by the large ones.
+func TestLargerFirst(t *testing.T) {
+	const large, small, each = 500, 100, 28
+	size := func(n int) int {
+		if n%13 == 5 {
+			return large
+		}
+		return small
+	}
+	var batch rwfeed.Batch
+	var all []*rwpeer.Members
+	for n := range each {
+		m := rwpeer.Member{Name: fmt.Sprint("entry-", n), Zone: "a", Instances: fmt.Sprint(n), Memory: size(n)}
+		spec, err := json.Marshal(m)
+		require.NoError(t, err)
+		batch.Changes = append(batch.Changes, rwfeed.Change{Name: m.Name, Revision: 1, Spec: spec})
+		all = append(all, &rwpeer.Members{Self: m.Name, Zone: m.Zone, Memory: m.Memory, Log: logr.Discard()})
+	}
+	for n, m := range all {
+		m.Apply(batch)
+		if m.Watches() {
+			require.Equal(t, large, size(n))
+		}
+		require.Equal(t, size(n) == large, m.Large())
+		if !m.Large() {
+			require.Len(t, rwpeer.Relays(m.Zones()["a"]), 2)
+		}
+	}
+	equal := make([]rwpeer.Member, 4)
+	require.Len(t, rwpeer.Relays(equal), 4, "nobody is larger")
+	equal[0].Memory = large
+	require.Len(t, rwpeer.Relays(equal), 4, "one alone is no relay")
+	require.Empty(t, rwpeer.Relays(nil))
+}
+
 func TestListed(t *testing.T) {
 	all := listed(t, 1, 2)
 	require.Len(t, all[0].Others(), 1)
