An end without any event is not believed from one server; empty streams measure nothing

Change: a server that ends a stream which goes on there without one event is passed over while another can be asked; the second one is believed. Found on the way, in the log line of that stream: a stream without events measured the pace of streams from the year 1, after which every stream would have been hopeless and refused. Nothing is measured of streams without events or that go on. Tests: TestEndWithoutEvents, TestEmptyStream, which fail without it.

--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -94,7 +94,10 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			s.finish(n, reply)
+			if _, started := s.order.Last(); started && !pace.Begun() && s.doubted == 0 {
+				return false, s.doubt(n)
+			}
+			s.finish(n.server.ID, reply)
 			return true, nil
 		}
 		if err != nil {
@@ -236,14 +239,28 @@
 	return nil
 }
 
+// doubt passes over a server that ends a stream which goes on there without one
+// event: either the caller has all, or the server has lost its place. One that does
+// so is not believed while another can be asked.
+func (s *stream) doubt(n next) error {
+	s.doubted = s.sent
+	s.note("end without events", n.server.ID, nil)
+	return rwerror.New(rwerror.KindUnknown, "send it again with the id of the last event",
+		"backend server %s ended the stream without an event", n.server.ID).WithRan(rwerror.RanUnknown)
+}
+
 // finish notes that the stream has come to its end.
-func (s *stream) finish(n next, reply Reply) {
-	s.f.Directory.Answered(n.server.ID, false, 0, reply.Load)
-	if s.sent == 1 && s.ask.Output > 0 {
+func (s *stream) finish(server string, reply Reply) {
+	s.f.Directory.Answered(server, false, 0, reply.Load)
+	first := time.Duration(0)
+	if s.events > 0 {
+		first = s.firstAt.Sub(s.call.began)
+	}
+	if s.events > 0 && s.sent == 1 && !s.ask.Resumed && s.ask.Output > 0 {
 		s.f.Directory.MeasureToken(s.ask.Output, time.Since(s.firstAt))
 	}
 	s.f.Count.longest(s.pause)
 	s.f.Count.answered(rwroute.KindStream, http.StatusOK, time.Since(s.call.began))
-	s.f.Log.V(rwlog.Routine).Info("stream ended", "request", s.ask.ID, "server", n.server.ID, "events", s.events, "sent", s.sent,
-		"first", s.firstAt.Sub(s.call.began).Seconds(), "pause", s.pause.Seconds(), "took", time.Since(s.call.began).Seconds())
+	s.f.Log.V(rwlog.Routine).Info("stream ended", "request", s.ask.ID, "server", server, "events", s.events, "sent", s.sent,
+		"first", first.Seconds(), "pause", s.pause.Seconds(), "took", time.Since(s.call.began).Seconds())
 }
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -28,6 +28,7 @@
 	pause   time.Duration // the longest between two events, whoever sent them
 	last    error
 	holders []string // servers that hold its prompt, if they were asked
+	doubted int      // tries when a server ended it without an event; zero for never
 }
 
 // The causes for which a server is given up.
@@ -50,6 +51,10 @@
 	}
 	for {
 		next, err := s.next()
+		if err != nil && s.sent == s.doubted && s.sent < s.route.Attempts && s.left() > 0 {
+			s.finish("", Reply{}) // there is no other server to ask
+			return nil
+		}
 		if err != nil {
 			return s.giveUp(err)
 		}
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -83,6 +83,8 @@
 breaks internal/rwattempt 'TestOnce' internal/rwattempt/plan.go 'r.Fate == FateUnsent && p.Wait()' 'r.Fate == FateUnsent || r.Fate == FateUnknown'
 breaks internal/rwattempt 'TestNeverTwice' internal/rwattempt/plan.go 'case r.Fate == FateNotRun' 'case r.Fate != FateAnswered'
 breaks internal/rwservice 'TestOnce' internal/rwservice/proxy.go 'case rwattempt.FateUnknown:' 'case rwattempt.FateRefused:'
+breaks platform 'TestEndWithoutEvents' $f/relay.go 's.doubted == 0' 'false'
+breaks platform 'TestEmptyStream' $f/relay.go 's.events > 0 && s.sent == 1' 's.sent == 1'
 breaks $f 'TestNewcomer' $f/newcomer.go '!said.Ready || said.Incarnation <= old.Incarnation' 'said.Incarnation <= old.Incarnation'
 breaks $f 'TestFind' $f/finder.go 's.done && time.Since(s.began) > listAgain' 'time.Since(s.began) > 0'
 breaks internal/rwroute 'TestProvides' internal/rwroute/table.go 'slices.Contains(s.Engine.Models, model) != (name == service)' 'name == service && !slices.Contains(s.Engine.Models, model)'
