A search for prompts is bounded by the service's size and by searches in a row

Change: a service of more than 160 servers is not searched, and no more than three searches follow each other within 10 s. Tests: TestFind (no search of a fleet, no search without end).

--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -25,6 +25,7 @@
 	Length    time.Duration `long:"length" default:"15s" description:"how long faults come"`
 	Instances int           `long:"instances" default:"6" description:"number of instances"`
 	Models    int           `long:"models" default:"4" description:"model servers in each zone"`
+	Measure   bool          `long:"measure" description:"measure loads one after the other, the calm one first, instead"`
 }
 
 func main() {
@@ -32,11 +33,39 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	if !o.all() {
+	var ok bool
+	if o.Measure {
+		ok = o.measure()
+	} else {
+		ok = o.all()
+	}
+	if !ok {
 		os.Exit(1)
 	}
 }
 
+// measure prints a line of JSON for each load.
+func (o options) measure() bool {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	soak := &rwsoak.Soak{Program: o.Program, Logs: filepath.Join(o.Logs, "measure"), Seed: o.Seed, Length: o.Length, Instances: o.Instances, Models: o.Models}
+	phases, err := soak.Measure(ctx)
+	for _, p := range phases {
+		line, err := json.Marshal(p)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return false
+		}
+		fmt.Println(string(line))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	fmt.Println("drawn: " + filepath.Join(soak.Logs, "pauses.svg"))
+	return true
+}
+
 // all runs all seeds and reports whether all promises were kept.
 func (o options) all() bool {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/internal/rwforward/finder.go
+++ b/internal/rwforward/finder.go
@@ -20,6 +20,15 @@
 	listAgain = time.Second
 	// listMost is how many servers are asked at a time.
 	listMost = 32
+	// serversMost is the largest service that is searched. Each instance asks each
+	// server: beyond some hundred this costs more than the prompts that it saves
+	// (at 300 instances and 3,000 servers it filled all links for 30 s).
+	serversMost = 160
+	// burstMost is how many searches may follow each other within burstTime: callers
+	// come back for a few seconds after a loss, and who is not found by then is not
+	// to be found.
+	burstMost = 3
+	burstTime = 10 * time.Second
 )
 
 // Finder finds out which servers hold the memory of streams that no instance
@@ -36,6 +45,8 @@
 
 type search struct {
 	began time.Time
+	burst time.Time     // when the first of the searches in a row began
+	count int           // searches since then
 	news  chan struct{} // closed and replaced with each answer
 	done  bool
 }
@@ -70,16 +81,31 @@
 	defer f.mu.Unlock()
 	s := f.searches[service]
 	if s == nil || s.done && time.Since(s.began) > listAgain {
-		s = &search{began: time.Now(), news: make(chan struct{})}
+		s = s.next()
 		if f.searches == nil {
 			f.searches = map[string]*search{}
 		}
 		f.searches[service] = s
-		go f.run(s, f.Directory.Service(service))
+		servers := f.Directory.Service(service)
+		if s.count > burstMost || len(servers) > serversMost {
+			s.done = true
+			return s.news, true
+		}
+		go f.run(s, servers)
 	}
 	return s.news, s.done
 }
 
+// next returns the search that follows on one, nil for none.
+func (s *search) next() *search {
+	now := time.Now()
+	next := &search{began: now, burst: now, count: 1, news: make(chan struct{})}
+	if s != nil && now.Sub(s.burst) < burstTime {
+		next.burst, next.count = s.burst, s.count+1
+	}
+	return next
+}
+
 func (f *Finder) run(s *search, servers []rwbackend.View) {
 	var work sync.WaitGroup
 	turns := make(chan struct{}, listMost)
--- a/internal/rwforward/finder_test.go
+++ b/internal/rwforward/finder_test.go
@@ -76,6 +76,27 @@
 			require.EqualValues(t, 2*servers, l.calls.Load())
 		})
 	})
+	t.Run("no search without end", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &lists{held: map[string][]string{"a0": {"x"}}}
+			f := finder(1, l)
+			for range 9 {
+				require.Empty(t, f.Find(t.Context(), "model", "nowhere"))
+				time.Sleep(1100 * time.Millisecond)
+			}
+			require.EqualValues(t, 3, l.calls.Load())
+			time.Sleep(10 * time.Second)
+			require.Empty(t, f.Find(t.Context(), "model", "nowhere"))
+			require.EqualValues(t, 4, l.calls.Load(), "later losses are others")
+		})
+	})
+	t.Run("no search of a fleet", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &lists{}
+			require.Empty(t, finder(3000, l).Find(t.Context(), "model", "x"))
+			require.Zero(t, l.calls.Load())
+		})
+	})
 	t.Run("a slow server holds up nobody", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			l := &lists{held: map[string][]string{"a0": {"x"}, "a1": {"y"}}, takes: map[string]time.Duration{"a1": time.Minute}}
--- a/internal/rwload/plot.go
+++ b/internal/rwload/plot.go
@@ -19,19 +19,32 @@
 func (l *Load) Plot(file string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return Draw(file, "Latencies", "events",
+		Curve{"first token", l.tally.first}, Curve{"between events", l.tally.gap}, Curve{"longest gap", l.tally.stall})
+}
+
+// Curve is a distribution of times in microseconds.
+type Curve struct {
+	Name  string
+	Times *hdrhistogram.Histogram
+}
+
+// Draw draws distributions of something into a file, whose ending (.png or .svg)
+// says the form.
+func Draw(file, title, of string, curves ...Curve) error {
 	p := plot.New()
-	p.Title.Text = "Latencies"
+	p.Title.Text = title
 	p.X.Label.Text = "seconds"
-	p.Y.Label.Text = "share of events"
+	p.Y.Label.Text = "share of " + of
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
 	p.Y.Min, p.Y.Max = 0, 1
 	p.Legend.Top = false
-	err := plotutil.AddLines(p,
-		"first token", distribution(l.tally.first),
-		"between events", distribution(l.tally.gap),
-		"longest gap", distribution(l.tally.stall))
-	if err != nil {
+	var lines []any
+	for _, c := range curves {
+		lines = append(lines, c.Name, distribution(c.Times))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
 		return errors.Trace(err)
 	}
 	return errors.Trace(p.Save(plotWidth, plotHeight, file))
