--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -76,8 +76,12 @@
 	watch := func(held *rwfeed.Held, source rwfeed.Source, wait, pause time.Duration) *rwfeed.Watcher {
 		w := &rwfeed.Watcher{Held: held, Source: source, Task: f.watches, Wait: wait, Gather: pause, Back: f.back, Log: i.Log}
 		if state := f.state; state != nil {
-			// While the store does not answer one of the watchers asks.
-			w.Task = func() bool { return f.watches() && !state.Lost() }
+			// While the store does not answer one of the watchers asks. An instance that
+			// has just started and asks by turn gets from its peers, who soon answer,
+			// what it can serve without.
+			w.Task = func() bool {
+				return !state.Lost() && (f.role() || f.turn() && (!held.Optional || time.Since(f.started) > storeAfter))
+			}
 		} else {
 			f.state = w
 		}
@@ -108,17 +112,22 @@
 // watches reports whether this instance watches the store now: it is its zone's
 // watcher, or no peer knows more. An instance that has just started asks the
 // seeds first, unless it is one of them.
-func (f *feeds) watches() bool {
+func (f *feeds) watches() bool { return f.role() || f.turn() }
+
+// role reports whether it is this instance's part to watch the store.
+func (f *feeds) role() bool {
 	members := &f.instance.members
-	if f.instance.Settings.First && time.Since(f.started) < storeCalm {
+	if f.calm() {
 		// The instances are only just listing themselves: whoever is the watcher of
 		// those that are known is soon the watcher no more.
 		return f.seed()
 	}
-	if members.Count() > 1 && members.Watches() || members.Count() == 1 && f.seed() {
-		return true
-	}
-	return f.turn()
+	return members.Count() > 1 && members.Watches() || members.Count() == 1 && f.seed()
+}
+
+// calm reports whether the whole system has just started for the first time.
+func (f *feeds) calm() bool {
+	return f.instance.Settings.First && time.Since(f.started) < storeCalm
 }
 
 // turn reports whether it is the turn of an instance that is no watcher to ask
@@ -126,6 +135,9 @@
 func (f *feeds) turn() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.calm() {
+		return false
+	}
 	if f.follower.Following() {
 		f.turnAt = time.Time{}
 		return false
