An instance outlives the reader of its log; tools end what they started; help is help alone

The same signal ended an instance whose standard output nobody read any more, with its next line. Change: instances ignore SIGPIPE; tools take it, and SIGHUP, as a signal to stop; help does nothing else; rwmeasure and rwdemo wake from their waits when told to stop, and name that as the cause (they said "not ready in 20s"). Tests: TestLogReaderGone (fails without it), TestHelp.

--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -23,6 +23,8 @@
 }
 
 func run() int {
+	// A reader of the lines that is gone costs the lines, not the process.
+	signal.Ignore(syscall.SIGPIPE)
 	lines := rwlog.NewWriter(os.Stdout)
 	defer lines.Close(logTime)
 	log := rwlog.New(lines)
--- /dev/null
+++ b/cmd/rwentry/main_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ragwortwall/platform"
+	"ragwortwall/platform/standin"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	waitTime = 20 * time.Second
+	tick     = 20 * time.Millisecond
+)
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestLogReaderGone: an instance whose standard output nobody reads any more goes on,
+// and ends as told.
+func TestLogReaderGone(t *testing.T) {
+	folder := t.TempDir()
+	program := filepath.Join(folder, "rwentry")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	store := &standin.Store{}
+	store.Configure(standin.Version{Number: 1, Keys: []string{standin.Key}})
+	server := httptest.NewServer(store)
+	defer server.Close()
+	i := standin.Instance{
+		Name: "entry-0", Zone: "a", Store: strings.TrimPrefix(server.URL, "http://"),
+		Callers: free(t), Ready: free(t), Control: free(t), Datagrams: free(t),
+	}
+	file := filepath.Join(folder, "settings.json")
+	require.NoError(t, os.WriteFile(file, i.File(), 0o600))
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), platform.PathVariable+"="+file)
+	cmd.Stdout = w
+	require.NoError(t, cmd.Start())
+	require.NoError(t, w.Close())
+	require.NoError(t, r.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	ready := func() bool {
+		response, err := http.Get("http://" + i.Ready + platform.ReadyPath)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}
+	require.Eventually(t, ready, waitTime, tick)
+	calls := store.Calls()
+	store.Down(true) // of which it writes lines
+	require.Eventually(t, func() bool { return store.Calls() > calls+2 }, waitTime, tick)
+	store.Down(false)
+	require.Eventually(t, ready, waitTime, tick)
+	require.Empty(t, ended)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(waitTime):
+		require.Fail(t, "it does not end")
+	}
+}
--- a/internal/rwcommand/demo.go
+++ b/internal/rwcommand/demo.go
@@ -12,6 +12,7 @@
 
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwload"
+	"ragwortwall/internal/rwtime"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
@@ -29,7 +30,7 @@
 		panic(e)
 	}
 	o := output{out: out, err: err}
-	if code := run(parser, args, o); code != exitDone {
+	if code, ok := parse(parser, args, o); !ok {
 		return code
 	}
 	ctx, stop := interruptible()
@@ -100,7 +101,7 @@
 	}}
 	done := make(chan rwload.Report, 1)
 	go func() { done <- l.Run(ctx) }()
-	time.Sleep(demoKillAfter)
+	rwtime.Sleep(ctx, demoKillAfter)
 	busiest, err := busiestEngine(fleet)
 	if err != nil {
 		return rwload.Report{}, "", err
--- /dev/null
+++ b/internal/rwcommand/help_test.go
@@ -0,0 +1,29 @@
+package rwcommand_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"ragwortwall/internal/rwcommand"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHelp: a program that is asked for help does nothing else. Three of them went
+// on to their work, and left what they had started when the reader had read enough.
+func TestHelp(t *testing.T) {
+	for name, program := range map[string]func([]string, io.Writer, io.Writer) int{
+		"ragwortwall": rwcommand.Main, "rwdemo": rwcommand.MainDemo, "rwload": rwcommand.MainLoad,
+		"rwmeasure": rwcommand.MainMeasure, "rwstandin": rwcommand.MainStandin,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out, err bytes.Buffer
+			require.Zero(t, program([]string{"--help"}, &out, &err))
+			require.Contains(t, out.String(), "Usage:")
+			require.NotContains(t, out.String(), "{", "a figure")
+			require.Empty(t, err.String())
+			require.Equal(t, 2, program([]string{"--no-such-option"}, &out, &err))
+		})
+	}
+}
--- a/internal/rwcommand/load.go
+++ b/internal/rwcommand/load.go
@@ -45,7 +45,7 @@
 		panic(e)
 	}
 	o := output{out: out, err: err}
-	if code := run(parser, args, o); code != exitDone || opts.Key == "" {
+	if code, ok := parse(parser, args, o); !ok || opts.Key == "" {
 		return code
 	}
 	if e := opts.load(o); e != nil {
--- a/internal/rwcommand/main.go
+++ b/internal/rwcommand/main.go
@@ -3,6 +3,8 @@
 import (
 	"expvar"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"ragwortwall/internal/rwconfig"
 	"ragwortwall/internal/rwmove"
@@ -79,6 +81,8 @@
 	}
 	ctx, stop := interruptible()
 	defer stop()
+	// A reader of the lines that is gone costs the lines, not the process.
+	signal.Ignore(syscall.SIGPIPE)
 	instance := &rwserve.Instance{Config: config, Network: rwnet.TCP{}, Log: log.WithValues("instance", config.Name)}
 	if config.TLS != nil {
 		keys, err := rwnet.LoadTLS(config.TLS.Certificate, config.TLS.Key, config.TLS.Authority)
--- a/internal/rwcommand/measure.go
+++ b/internal/rwcommand/measure.go
@@ -29,7 +29,7 @@
 	if _, e := parser.AddGroup("rwmeasure", "", &opts); e != nil {
 		panic(e)
 	}
-	if code := run(parser, args, output{out: out, err: err}); code != exitDone {
+	if code, ok := parse(parser, args, output{out: out, err: err}); !ok {
 		return code
 	}
 	if opts.List {
--- a/internal/rwcommand/run.go
+++ b/internal/rwcommand/run.go
@@ -30,26 +30,34 @@
 
 // run parses the arguments with a parser and runs the command that they name.
 func run(parser *flags.Parser, args []string, o output) int {
+	code, _ := parse(parser, args, o)
+	return code
+}
+
+// parse is run for a program without commands: it reports whether the program has
+// still to do its work, which it has not after a help text.
+func parse(parser *flags.Parser, args []string, o output) (int, bool) {
 	_, err := parser.ParseArgs(args)
 	if err == nil {
-		return exitDone
+		return exitDone, true
 	}
 	var usage *flags.Error
 	if errors.As(err, &usage) {
 		if usage.Type == flags.ErrHelp {
 			fmt.Fprintln(o.out, usage.Message)
-			return exitDone
+			return exitDone, false
 		}
 		fmt.Fprintln(o.err, usage.Message)
-		return exitUsage
+		return exitUsage, false
 	}
 	fmt.Fprintln(o.err, err)
-	return exitFailed
+	return exitFailed, false
 }
 
-// interruptible returns a context that ends with SIGTERM or SIGINT.
+// interruptible returns a context that ends with a signal to stop, or when the
+// reader of the output is gone: what was started must be ended however it comes.
 func interruptible() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE, os.Interrupt)
 }
 
 // newLog returns a log that writes JSON lines to standard error.
--- a/internal/rwlab/fleet.go
+++ b/internal/rwlab/fleet.go
@@ -204,6 +204,9 @@
 		}
 		time.Sleep(readyPoll)
 	}
+	if ctx.Err() != nil {
+		return errors.Annotate(ctx.Err(), "stopped before it was ready")
+	}
 	return errors.Errorf("not ready in %s", readyTime)
 }
 
--- a/internal/rwmeasure/load.go
+++ b/internal/rwmeasure/load.go
@@ -10,6 +10,7 @@
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwload"
 	"ragwortwall/internal/rwstandin"
+	"ragwortwall/internal/rwtime"
 )
 
 func serviceName(n int) string { return fmt.Sprintf("s%d", n+1) }
@@ -94,7 +95,7 @@
 	o.Requests = int(o.Rate * 10)
 	o.Seed = 3
 	o.Repeat = false
-	time.Sleep(5 * time.Second)
+	rwtime.Sleep(ctx, 5*time.Second)
 	report := (&rwload.Load{Options: o}).Run(ctx)
 	b.whole("overload.after", report)
 	b.most("overload.after.first.p95", report.First.P95, "s", 0.91)
@@ -183,7 +184,7 @@
 	var wait sync.WaitGroup
 	var report rwload.Report
 	wait.Go(func() { report = (&rwload.Load{Options: o}).Run(ctx) })
-	time.Sleep(time.Second)
+	rwtime.Sleep(ctx, time.Second)
 	for n := range fleet.Instances {
 		name := fleet.InstanceName(n)
 		if err := fleet.Signal(name, syscall.SIGTERM); err != nil {
--- a/internal/rwmeasure/loss.go
+++ b/internal/rwmeasure/loss.go
@@ -9,6 +9,7 @@
 
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwload"
+	"ragwortwall/internal/rwtime"
 
 	"github.com/juju/errors"
 )
@@ -101,16 +102,16 @@
 	var wait sync.WaitGroup
 	var report rwload.Report
 	wait.Go(func() { report = (&rwload.Load{Options: o}).Run(ctx) })
-	time.Sleep(time.Second)
+	rwtime.Sleep(ctx, time.Second)
 	for round := range rounds {
 		if err := blow.strike(fleet, round); err != nil {
 			return err
 		}
-		time.Sleep(repairAfter)
+		rwtime.Sleep(ctx, repairAfter)
 		if err := blow.repair(fleet, round); err != nil {
 			return err
 		}
-		time.Sleep(roundTime - repairAfter)
+		rwtime.Sleep(ctx, roundTime-repairAfter)
 	}
 	wait.Wait()
 	name := "loss." + blow.name
--- a/internal/rwmeasure/measure.go
+++ b/internal/rwmeasure/measure.go
@@ -64,6 +64,9 @@
 		if len(names) > 0 && !contains(names, s.Name) {
 			continue
 		}
+		if ctx.Err() != nil {
+			return errors.Annotate(ctx.Err(), "stopped before "+s.Name)
+		}
 		started := time.Now()
 		if err := s.run(b, ctx); err != nil {
 			return errors.Annotate(err, s.Name)
--- a/internal/rwmeasure/orders.go
+++ b/internal/rwmeasure/orders.go
@@ -7,6 +7,7 @@
 
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwload"
+	"ragwortwall/internal/rwtime"
 )
 
 const (
@@ -35,11 +36,11 @@
 	var report rwload.Report
 	wait.Go(func() { report = (&rwload.Load{Options: o}).Run(ctx) })
 	for round := range 3 {
-		time.Sleep(3 * time.Second)
+		rwtime.Sleep(ctx, 3*time.Second)
 		if err := fleet.Kill(fleet.InstanceName(round)); err != nil {
 			return err
 		}
-		time.Sleep(time.Second)
+		rwtime.Sleep(ctx, time.Second)
 		if err := fleet.Restart(fleet.InstanceName(round)); err != nil {
 			return err
 		}
--- a/internal/rwmeasure/path.go
+++ b/internal/rwmeasure/path.go
@@ -6,6 +6,7 @@
 
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwload"
+	"ragwortwall/internal/rwtime"
 )
 
 const (
@@ -62,7 +63,7 @@
 	}
 	held := make(chan float64, 1)
 	go func() {
-		time.Sleep(10 * time.Second)
+		rwtime.Sleep(ctx, 10*time.Second)
 		memory, _ := instancesMemory(fleet)
 		held <- memory
 	}()
--- a/internal/rwmeasure/slopes.go
+++ b/internal/rwmeasure/slopes.go
@@ -12,6 +12,7 @@
 	"ragwortwall/internal/rwcapacity"
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwobject"
+	"ragwortwall/internal/rwtime"
 	"ragwortwall/internal/rwtree"
 
 	"github.com/juju/errors"
@@ -123,12 +124,12 @@
 		return idle{}, err
 	}
 	defer stop()
-	time.Sleep(idleSettle)
+	rwtime.Sleep(ctx, idleSettle)
 	before, err := usage(fleet)
 	if err != nil {
 		return idle{}, err
 	}
-	time.Sleep(idleMeasure)
+	rwtime.Sleep(ctx, idleMeasure)
 	after, err := usage(fleet)
 	if err != nil {
 		return idle{}, err
--- a/internal/rwmeasure/slow.go
+++ b/internal/rwmeasure/slow.go
@@ -7,6 +7,7 @@
 
 	"ragwortwall/internal/rwlab"
 	"ragwortwall/internal/rwload"
+	"ragwortwall/internal/rwtime"
 )
 
 const (
@@ -39,7 +40,7 @@
 	slow.Seed = 7
 	var wait sync.WaitGroup
 	wait.Go(func() { (&rwload.Load{Options: slow}).Run(ctx) })
-	time.Sleep(25 * time.Second)
+	rwtime.Sleep(ctx, 25*time.Second)
 	fast.Seed = 9
 	fast.Targets = fleet.Targets()[1:]
 	beside := (&rwload.Load{Options: fast}).Run(ctx)
--- a/internal/rwsoak/faults.go
+++ b/internal/rwsoak/faults.go
@@ -99,6 +99,10 @@
 	{"order-reset", orderLink(ModeReset)},
 	{"order-one-way", orderLink(ModeOneWay)},
 	{"order-silent", orderLink(ModeSilent)},
+	{"peer-delay", peerLink(ModeDelay)},
+	{"peer-reset", peerLink(ModeReset)},
+	{"peer-one-way", peerLink(ModeOneWay)},
+	{"peer-silent", peerLink(ModeSilent)},
 	{"link-delay", link(ModeDelay)},
 	{"link-reset", link(ModeReset)},
 	{"link-one-way", link(ModeOneWay)},
@@ -259,6 +263,8 @@
 		return "link " + s.orders.At(b.on).ID
 	case "order-crash", "answers-lost":
 		return "orders"
+	case "peer-delay", "peer-reset", "peer-one-way", "peer-silent":
+		return "peers " + s.instances[b.on%len(s.instances)].Name
 	case "store-down", "store-slow", "store-compact":
 		return "store"
 	default:
--- a/internal/rwsoak/process.go
+++ b/internal/rwsoak/process.go
@@ -22,6 +22,7 @@
 	standin.Instance
 	program, folder string
 	link            *Proxy
+	peers           *peerLinks
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -39,6 +40,9 @@
 	i.Name, i.Zone, i.Store = fmt.Sprintf("entry-%d", n), standin.Zone(n%zones), link.Address
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%250, os.Getpid()%256, 1+n%250)
 	i.Callers, i.Ready, i.Control, i.Datagrams = ip+":8740", ip+":8749", ip+":8748", ip+":7200"
+	if i.peers, err = newPeerLinks(i); err != nil {
+		return nil, err
+	}
 	return i, nil
 }
 
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -103,6 +103,7 @@
 	if err != nil {
 		return err
 	}
+	s.store.Rewrite = s.relist
 	server := &http.Server{Handler: &s.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	s.links = map[string]*Proxy{}
@@ -163,7 +164,7 @@
 		}
 		s.instances = append(s.instances, i)
 		if n < zones {
-			seeds = append(seeds, i.Control)
+			seeds = append(seeds, i.peers.calls.Address)
 		}
 	}
 	for _, i := range s.instances {
@@ -196,6 +197,7 @@
 	for _, i := range s.instances {
 		i.end(syscall.SIGKILL, time.Second)
 		i.link.Close()
+		i.peers.close()
 	}
 	for _, g := range []*standin.Group{&s.models, &s.orders} {
 		for n := range g.Servers {
