Servers that are not listed yet come from peers first

An instance that had the settings but no servers listed these from the store again and again; with 3,000 servers and 300 instances at once a list takes longer than its 1.5 s.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -142,7 +142,7 @@
 		f.turnAt = time.Time{}
 		return false
 	}
-	if _, listed := f.servers.Age(); f.settings.Table() == nil || !listed {
+	if f.settings.Table() == nil {
 		return time.Since(f.started) > storeFirst
 	}
 	if time.Since(f.started) < storeAfter {
