The list of servers and its reader no longer wait for each other for ever

Since servers are used unlisted, settle asked the list for its age with the lock of the servers held, and the list hands on changes with its own lock held. Change: the age is asked first.

--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -224,6 +224,25 @@
 	})
 }
 
+// TestListAsked: the list is asked for its age while a change of it may be on its way
+// in. Both waited for each other for ever: seed 8203 of the soak.
+func TestListAsked(t *testing.T) {
+	s := &rwfeed.Servers{Directory: rwbackend.NewDirectory("self"), Log: logr.Discard(), Regained: func() time.Time { return time.Time{} }}
+	asked := make(chan struct{})
+	var once sync.Once
+	s.Age = func() (time.Duration, bool) {
+		s.Apply(rwfeed.Batch{}) // as the list does, with its own lock held
+		once.Do(func() { close(asked) })
+		return 0, true
+	}
+	go s.Run(t.Context())
+	select {
+	case <-asked:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the list and its reader wait for each other")
+	}
+}
+
 // TestSettings: a state that can't be read leaves the last good one in force.
 func TestSettings(t *testing.T) {
 	s := &rwfeed.Settings{Log: logr.Discard(), Decode: func(_ string, spec json.RawMessage) (*rwroute.Table, error) {
--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -107,14 +107,9 @@
 	return nil
 }
 
-// unlistedLocked drops servers that were put in unlisted and that the store does
-// not know.
-func (s *Servers) unlistedLocked() {
-	age, known := s.Age()
-	if !known {
-		return
-	}
-	confirmed := time.Now().Add(-age)
+// unlistedLocked drops servers that were put in unlisted and that the store did not
+// know when the list was last confirmed.
+func (s *Servers) unlistedLocked(confirmed time.Time) {
 	for name, since := range s.adopted {
 		if confirmed.Sub(since) > returnTime {
 			s.dropLocked(name, "never listed")
@@ -134,9 +129,13 @@
 }
 
 func (s *Servers) settle() {
+	// The list calls Apply with its own lock held: it is asked before this one.
+	age, known := s.Age()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unlistedLocked()
+	if known {
+		s.unlistedLocked(time.Now().Add(-age))
+	}
 	if time.Since(s.Regained()) < returnTime {
 		return
 	}
