The soak notices an instance that answers nothing

An order that has no answer after 15 s breaks a promise: its route's 2 s, and the longest that an instance stands still.

--- a/internal/rwsoak/doc.go
+++ b/internal/rwsoak/doc.go
@@ -10,6 +10,7 @@
 //   - an order runs at most once, and never where the caller was told that it did
 //     not run;
 //   - a key that was taken away opens nothing after its bound;
+//   - an order is answered in time, whatever the answer;
 //   - when all faults have ended, callers are served.
 //
 // A seed gives the same schedule of faults.
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -62,8 +62,9 @@
 	visitors    = 6
 	readyTime   = 20 * time.Second
 	streamTime  = 25 * time.Second
-	visitTime   = time.Second     // a visitor's patience, so that some always knock
-	settleTime  = 8 * time.Second // after the last fault, until callers must be served
+	orderTime   = 15 * time.Second // the route's 2 s, and the longest that an instance stands still
+	visitTime   = time.Second      // a visitor's patience, so that some always knock
+	settleTime  = 8 * time.Second  // after the last fault, until callers must be served
 	brokenMost  = 20
 	faultsEvery = 700 * time.Millisecond
 	stopGrace   = 8 * time.Second
@@ -260,10 +261,15 @@
 }
 
 func (s *Soak) oneOrder(ctx context.Context, c *standin.Caller) bool {
-	id, status, err := c.Order(ctx)
+	own, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	id, status, err := c.Order(own)
 	if err != nil {
 		s.broken("%v", err)
 	}
+	if own.Err() != nil && ctx.Err() == nil {
+		s.broken("order %s got no answer in %s", id, orderTime)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Orders++
