--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -51,7 +51,7 @@
 	}
 	for {
 		next, err := s.next()
-		if err != nil && s.sent == s.doubted && s.sent < s.route.Attempts && s.left() > 0 {
+		if err != nil && s.doubted > 0 && s.sent == s.doubted && s.sent < s.route.Attempts && s.left() > 0 {
 			s.finish("", Reply{}) // there is no other server to ask
 			return nil
 		}
