A watcher that has lost the store asks the others without waiting

Ruled out: a shorter age for followers. Confirmations count from the beginning of a call, so that a sound watcher's are up to 2.4 s old. Change: such a watcher asks without waiting, and goes on to the next one unless what it hears is younger than 1.7 s. Test: TestFollowInTrouble fails without it.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -94,7 +94,7 @@
 	watch(&f.moves, i.Stores.Moves, movesWait, 0)
 	f.list.Regained, f.list.Age = servers.Regained, f.servers.Age
 	held := []*rwfeed.Held{&f.states, &f.servers, &f.peers, &f.moves}
-	f.follower = rwfeed.Follower{Held: held, Peers: f.tries, Log: i.Log}
+	f.follower = rwfeed.Follower{Held: held, Peers: f.tries, Hurry: f.behind, Log: i.Log}
 	f.server = rwfeed.Server{Address: i.Settings.Instances, Held: held, Log: i.Log}
 }
 
@@ -175,9 +175,16 @@
 // for a change to be in force within its bound after an outage.
 const watcherBack = 600 * time.Millisecond
 
+// behind reports whether this instance is a watcher whose last confirmation by the
+// store is too old.
+func (f *feeds) behind() bool {
+	age, known := f.states.Age()
+	return f.instance.members.Watches() && known && age >= peersAfter
+}
+
 // tries are the instances to follow now.
 func (f *feeds) tries() []string {
-	if age, known := f.states.Age(); f.instance.members.Watches() && known && age < peersAfter {
+	if _, known := f.states.Age(); known && f.instance.members.Watches() && !f.behind() {
 		return nil
 	}
 	if watchers := f.instance.members.Watchers(); len(watchers) > 0 {
--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -312,6 +312,50 @@
 	require.Eventually(t, func() bool { return got.now()["a"] == 3 }, 10*time.Second, 5*time.Millisecond)
 }
 
+// TestFollowInTrouble answers the load of answers that the store loses for several
+// watchers at once: one of them asks the others, and does not wait at one that knows
+// no more than itself. hunt-af79-43 of Amman.
+func TestFollowInTrouble(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer cancel()
+	old := rwfeed.Batch{Revision: 3, Whole: true, Changes: []rwfeed.Change{change("a", 3)}}
+	start := func(newer bool) string {
+		address := free(t)
+		held := newHeld(&recorder{})
+		held.Offer(old, rwtime.Now()-rwtime.Boot(2*time.Second))
+		if newer {
+			held.Offer(rwfeed.Batch{Revision: 4, Changes: []rwfeed.Change{change("a", 4)}}, rwtime.Now())
+		}
+		server := &rwfeed.Server{Address: address, Held: []*rwfeed.Held{held}, Log: logr.Discard()}
+		work.Go(func() { server.Run(ctx) })
+		return address
+	}
+	peers := []string{start(false), start(true)}
+	for _, address := range peers {
+		require.Eventually(t, func() bool {
+			conn, err := net.Dial("tcp", address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err == nil
+		}, 10*time.Second, 5*time.Millisecond)
+	}
+	var got recorder
+	here := newHeld(&got)
+	here.Offer(old, rwtime.Now()-rwtime.Boot(2*time.Second))
+	behind := func() bool {
+		age, _ := here.Age()
+		return age > time.Second
+	}
+	follower := &rwfeed.Follower{Held: []*rwfeed.Held{here}, Peers: func() []string { return peers }, Hurry: behind, Log: logr.Discard()}
+	began := time.Now()
+	work.Go(func() { follower.Run(ctx) })
+	require.Eventually(t, func() bool { return got.now()["a"] == 4 }, 10*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(began), 900*time.Millisecond, "a peer that knows no more answers after a second")
+}
+
 // TestFollowPeer: an instance follows another one; what it gets is as old as it
 // is there.
 func TestFollowPeer(t *testing.T) {
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -131,6 +131,7 @@
 type Follower struct {
 	Held  []*Held
 	Peers func() []string // addresses to try, the best first; empty when there is no need
+	Hurry func() bool     // peers are asked without waiting for a change; nil for never
 	Log   logr.Logger
 
 	mu      sync.Mutex
@@ -158,6 +159,9 @@
 	// staleMost is the age from which a peer's state is of no more use than the
 	// own: two confirmations of a sound watcher.
 	staleMost = 2800 * time.Millisecond
+	// hurryStale is the same for a watcher that has lost the store: what it hears
+	// must be younger than what it has.
+	hurryStale = 1700 * time.Millisecond
 	// followGather is the pause after an answer with changes, as of a watcher.
 	followGather = 100 * time.Millisecond
 )
@@ -218,6 +222,12 @@
 			ask.Wait = lackWait.Milliseconds()
 		}
 	}
+	stale := staleMost
+	if f.Hurry != nil && f.Hurry() {
+		// The peer may have lost the store with this instance: whoever has not is
+		// found by asking all of them.
+		ask.Wait, stale = 0, hurryStale
+	}
 	began := rwtime.Now()
 	var answer Answer
 	if err := f.call(ctx, address, &ask, &answer); err != nil {
@@ -235,7 +245,7 @@
 		part := answer.Kinds[h.Kind]
 		at := began + rwtime.Boot(part.Fresh*int64(time.Millisecond))
 		taken := part.Known && h.Offer(part.Batch, at)
-		useful = useful && !h.lacking() && (h.Slow || taken && rwtime.Since(at) <= staleMost)
+		useful = useful && !h.lacking() && (h.Slow || taken && rwtime.Since(at) <= stale)
 		changes = changes || taken && len(part.Changes) > 0
 	}
 	if useful {
