Who follows a peer for settings leaves the store alone for servers

A peer whose answer lacked the servers did not count as followed, so that after 0.9 s each instance listed 3,000 servers from the store besides. Change: such a peer counts as followed for the settings; the follower still goes on to the next one at once.

--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -240,12 +240,13 @@
 	f.mu.Lock()
 	f.reached = time.Now()
 	f.mu.Unlock()
-	useful, changes := true, false
+	useful, lacking, changes := true, false, false
 	for _, h := range f.Held {
 		part := answer.Kinds[h.Kind]
 		at := began + rwtime.Boot(part.Fresh*int64(time.Millisecond))
 		taken := part.Known && h.Offer(part.Batch, at)
-		useful = useful && !h.lacking() && (h.Slow || taken && rwtime.Since(at) <= stale)
+		lacking = lacking || h.lacking()
+		useful = useful && (h.Slow || taken && rwtime.Since(at) <= stale)
 		changes = changes || taken && len(part.Changes) > 0
 	}
 	if useful {
@@ -253,7 +254,10 @@
 		f.heard = time.Now()
 		f.mu.Unlock()
 	}
-	if changes && useful {
+	if lacking {
+		return false // another peer may have what this one lacks too
+	}
+	if changes {
 		rwtime.Sleep(ctx, followGather)
 	}
 	return useful
