--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -36,8 +36,7 @@
 	// no settings at all: its seeds may be gone, and callers are waiting.
 	storeFirst = 200 * time.Millisecond
 	// storeCalm is the same when the whole system starts for the first time: no
-	// caller is there yet, and all would ask the store at once. Until then the seeds
-	// watch, for all.
+	// caller is there yet, and all would ask the store at once.
 	storeCalm = 3 * time.Second
 	// turnEach is the pause between two calls of the fleet to a store that does
 	// not answer, made by instances that are no watchers: together they ask no
@@ -117,32 +116,22 @@
 // role reports whether it is this instance's part to watch the store.
 func (f *feeds) role() bool {
 	members := &f.instance.members
-	if f.calm() {
-		// The instances are only just listing themselves: whoever is the watcher of
-		// those that are known is soon the watcher no more.
-		return f.seed()
-	}
 	return members.Count() > 1 && members.Watches() || members.Count() == 1 && f.seed()
 }
 
-// calm reports whether the whole system has just started for the first time.
-func (f *feeds) calm() bool {
-	return f.instance.Settings.First && time.Since(f.started) < storeCalm
-}
-
 // turn reports whether it is the turn of an instance that is no watcher to ask
 // the store. Instances whose peers answer but know no more take turns.
 func (f *feeds) turn() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.calm() {
-		return false
-	}
 	if f.follower.Following() {
 		f.turnAt = time.Time{}
 		return false
 	}
 	if f.settings.Table() == nil {
+		if f.instance.Settings.First {
+			return time.Since(f.started) > storeCalm
+		}
 		return time.Since(f.started) > storeFirst
 	}
 	if time.Since(f.started) < storeAfter {
