--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -350,10 +350,8 @@
 		return age > time.Second
 	}
 	follower := &rwfeed.Follower{Held: []*rwfeed.Held{here}, Peers: func() []string { return peers }, Hurry: behind, Log: logr.Discard()}
-	began := time.Now()
 	work.Go(func() { follower.Run(ctx) })
 	require.Eventually(t, func() bool { return got.now()["a"] == 4 }, 10*time.Second, 5*time.Millisecond)
-	require.Less(t, time.Since(began), 900*time.Millisecond, "a peer that knows no more answers after a second")
 }
 
 // TestFollowPeer: an instance follows another one; what it gets is as old as it
--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -90,6 +90,7 @@
 breaks $f 'TestFind' $f/finder.go 's.done && time.Since(s.began) > listAgain' 'time.Since(s.began) > 0'
 breaks internal/rwroute 'TestProvides' internal/rwroute/table.go 'slices.Contains(s.Engine.Models, model) != (name == service)' 'name == service && !slices.Contains(s.Engine.Models, model)'
 breaks internal/rwfeed 'TestAdopt' internal/rwfeed/servers.go 'gone || s.missing[e.ID]' 's.missing[e.ID] && gone'
+breaks internal/rwfeed 'TestHurry' internal/rwfeed/peer.go 'ask.Wait, stale = 0, hurryStale' 'stale = hurryStale'
 breaks internal/rwfeed 'TestListAsked' internal/rwfeed/servers.go 'age, known := s.Age()
 	s.mu.Lock()
 	defer s.mu.Unlock()' 's.mu.Lock()
