--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -48,6 +48,7 @@
 	Peers        int                `json:"others"`  // number of other instances that it knows
 	Servers      []ServerDump       `json:"servers"`
 	Moves        any                `json:"moves"`
+	Suspicions   []SuspicionDump    `json:"suspicions"`
 	HeapBytes    uint64             `json:"memory"` // in use
 	Goroutines   int                `json:"routines"`
 }
@@ -64,6 +65,14 @@
 	Failures  float64 `json:"failures"`  // failure rate as a moving average, 0 to 1
 }
 
+// SuspicionDump is a request suspected of crashing servers in a StateDump.
+type SuspicionDump struct {
+	Fingerprint string   `json:"fingerprint"`
+	Servers     []string `json:"servers"` // ids
+	Cleared     bool     `json:"cleared"`
+	Quarantined bool     `json:"quarantined"`
+}
+
 func (i *Instance) dump() StateDump {
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
@@ -80,6 +89,9 @@
 			d.Ages[cache.Kind] = age.Round(time.Millisecond).Seconds()
 		}
 	}
+	for _, s := range i.poison.Known() {
+		d.Suspicions = append(d.Suspicions, SuspicionDump{Fingerprint: s.Fingerprint.String(), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
+	}
 	for _, s := range i.directory.All() {
 		d.Servers = append(d.Servers, ServerDump{
 			ID: s.ID, Zone: s.Zone, Leaving: s.Leaving, Suspect: s.Suspect, Runs: s.Runs, Committed: s.Committed, Backlog: s.Backlog, Failures: s.FailureRate,
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -34,23 +34,46 @@
 	return rwpoison.Fingerprint(h.Sum64())
 }
 
+// Reasons why the loss of a server is not counted against the request that it ran.
+const (
+	reasonCorrelated    = "correlated"    // another server of its zone was lost at the same time, or it is not listed
+	reasonAccepts       = "accepts"       // its address accepts connections
+	reasonReused        = "reused"        // the request was sent on a reused connection
+	reasonOwnTimeout    = "own-timeout"   // this instance ended the attempt
+	reasonDeadline      = "deadline"      // the deadline had passed
+	reasonCallerLeft    = "caller-left"   // the caller disconnected
+	reasonEndedNoEvents = "ended-quietly" // the stream ended in order, without an event
+)
+
 // reportCrash suspects the request of having crashed a server that was lost while
 // running it. It does nothing if the server accepts connections or was lost together
 // with others of its zone.
-func (c *call) reportCrash(server rwbackend.Entry) {
+func (c *call) reportCrash(server rwbackend.Entry, cause error) {
 	fingerprint, f := c.fingerprint(), c.f
 	time.AfterFunc(crashCheckDelay, func() {
 		if f.Directory.IsCorrelatedLoss(server.ID) {
+			c.logLossIgnored(server, reasonCorrelated, cause)
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 		if accepted, _ := rwlink.TryConnect(ctx, server.Address, dialTimeout/2); accepted {
+			c.logLossIgnored(server, reasonAccepts, cause)
 			return
 		}
 		crashes := len(f.Poison.Get(fingerprint).Servers)
 		suspicion := f.Poison.Implicate(fingerprint, server.ID, crashes >= quarantineCrashes-1)
-		f.Log.Info("server crashed while running a request", "request", c.info.ID, "server", server.ID, "crashes", len(suspicion.Servers), "quarantined", suspicion.Quarantined)
+		f.Counters.increment("crashes_counted")
+		f.Log.Info("server crashed while running a request", "request", c.info.ID, "fingerprint", fingerprint.String(), "server", server.ID, "cause", cause.Error(),
+			"crashes", len(suspicion.Servers), "quarantined", suspicion.Quarantined)
 		f.NotifySuspicion(suspicion)
 	})
 }
+
+// logLossIgnored logs that the loss of a server is not counted against the request.
+func (c *call) logLossIgnored(server rwbackend.Entry, reason string, cause error) {
+	fingerprint := c.fingerprint()
+	c.f.Counters.increment("crashes_ignored_" + reason)
+	c.f.Log.Info("server loss not counted against the request", "request", c.info.ID, "fingerprint", fingerprint.String(), "server", server.ID, "reason", reason,
+		"cause", cause.Error(), "crashes", len(c.f.Poison.Get(fingerprint).Servers))
+}
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -137,9 +137,16 @@
 	response, err := c.exchange(conn, server.ID)
 	if err != nil {
 		conn.Close()
-		if ctx.Err() == nil && !reused {
+		switch {
+		case ctx.Err() != nil && !nonIdempotent && c.r.Context().Err() != nil:
+			c.logLossIgnored(server.Entry, reasonCallerLeft, err)
+		case ctx.Err() != nil:
+			c.logLossIgnored(server.Entry, reasonOwnTimeout, err)
+		case reused:
+			c.logLossIgnored(server.Entry, reasonReused, err)
+		default:
 			c.f.Directory.RecordLoss(server.ID)
-			c.reportCrash(server.Entry)
+			c.reportCrash(server.Entry, err)
 			c.recordVersionOutcome(server, true, 0)
 		}
 		c.logAttempt("exchange interrupted", server.ID, err)
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -148,11 +148,14 @@
 // for the caller. If the caller left, it only returns errCallerLeft.
 func (s *stream) recordInterruption(target attemptTarget, cause error) error {
 	if s.r.Context().Err() != nil {
+		s.logLossIgnored(target.server.Entry, reasonCallerLeft, cause)
 		return errCallerLeft
 	}
-	if s.remaining() > 0 {
+	if s.remaining() <= 0 {
+		s.logLossIgnored(target.server.Entry, reasonDeadline, cause)
+	} else {
 		s.markServerLost(target.server)
-		s.reportCrash(target.server.Entry)
+		s.reportCrash(target.server.Entry, cause)
 		s.recordVersionOutcome(target.server, true, 0)
 	}
 	s.f.Counters.countStreamLost(interruptionCause(cause))
@@ -255,6 +258,7 @@
 func (s *stream) rejectEmptyEnd(target attemptTarget) error {
 	s.emptyEndAttempt = s.attempts
 	s.logAttempt("stream ended without events", target.server.ID, nil)
+	s.logLossIgnored(target.server.Entry, reasonEndedNoEvents, io.EOF)
 	return rwerror.New(rwerror.KindOutcomeUnknown, "retry with the id of the last event",
 		"backend server %s ended the stream without an event", target.server.ID).WithRan(rwerror.RanUnknown)
 }
--- a/internal/rwpoison/registry.go
+++ b/internal/rwpoison/registry.go
@@ -11,6 +11,7 @@
 package rwpoison
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 // Fingerprint identifies a request by the digest of its body.
 type Fingerprint uint64
 
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Suspicion holds the crashes of one request and its state.
 type Suspicion struct {
 	Fingerprint Fingerprint
