rwforward: the fingerprint of a request leaves out the parts of its prompt

What callers saw: a request that crashes servers was not recognised when it came again. Cause: the fingerprint covered the id of the last part of the prompt, which belongs to one request or session and may be new each time; the same path, caller and body make it the same request.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -23,10 +23,11 @@
 )
 
 // fingerprint identifies a request across retries: it covers the organisation,
-// method, host, path, query, prompt and body, but not the request id.
+// method, host, path, query and body. Ids of the request and of parts of its prompt may
+// be new in each attempt.
 func (c *call) fingerprint() rwpoison.Fingerprint {
 	h := xxhash.New()
-	for _, part := range []string{c.org.Name, c.r.Method, c.r.Host, c.requestTarget(), c.info.LastPart} {
+	for _, part := range []string{c.org.Name, c.r.Method, c.r.Host, c.requestTarget()} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
