rwforward: bound the servers that may be lost under one request, whatever the cause

What callers saw: a request that crashes the servers that run it took one server after the other from all callers. Cause: its retries were bounded only by crashes that were proved to be its doing. Each doubt about a loss dropped it for good: a server back at once, another server of the zone lost within half a second (such a request loses them itself, one after the other), a kept connection. Class: a limit on harm that rests on finding the cause of the harm. A whole response by any server clears it. Suspicions expire also where nobody reads them. One that meets five losses by chance has used up its attempts anyway. TestLossesBounded is new.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -106,7 +106,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.loops(), i.closeIdleConns, i.serveMetrics, i.moves.run, i.register, i.exchange.Run, i.exchange.Hello) {
+	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.register, i.exchange.Run, i.exchange.Hello) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx)
@@ -184,11 +184,12 @@
 	return state.Table != nil && state.ServersKnown && state.Age <= state.MaxKeyAge && !i.leaving.Load()
 }
 
-// closeIdleConns closes idle connections to servers and from callers once per second
-// until ctx ends.
-func (i *Instance) closeIdleConns(ctx context.Context) {
+// expire closes idle connections to servers and from callers, and deletes expired
+// suspicions, once per second until ctx ends.
+func (i *Instance) expire(ctx context.Context) {
 	rwtime.Every(ctx, time.Second, func() {
 		i.pool.Sweep()
+		i.poison.Sweep()
 		if table := i.feeds.desiredState.Table(); table != nil && table.Limits.IdleTime > 0 {
 			i.idle.closeIdleLongerThan(table.Limits.IdleTime)
 		}
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -65,11 +65,11 @@
 	Failures  float64 `json:"failures"`  // failure rate as a moving average, 0 to 1
 }
 
-// SuspicionDump is a request suspected of crashing servers in a StateDump.
+// SuspicionDump is a request under which servers were lost in a StateDump.
 type SuspicionDump struct {
 	Fingerprint string   `json:"fingerprint"`
-	Servers     []string `json:"servers"` // ids
-	Cleared     bool     `json:"cleared"`
+	Crashed     []string `json:"crashed"` // processes of servers, each an id and an incarnation
+	Lost        []string `json:"lost"`    // the same
 	Quarantined bool     `json:"quarantined"`
 }
 
@@ -90,7 +90,7 @@
 		}
 	}
 	for _, s := range i.poison.Known() {
-		d.Suspicions = append(d.Suspicions, SuspicionDump{Fingerprint: s.Fingerprint.String(), Servers: s.Servers, Cleared: s.Cleared, Quarantined: s.Quarantined})
+		d.Suspicions = append(d.Suspicions, SuspicionDump{Fingerprint: s.Fingerprint.String(), Crashed: s.Servers, Lost: s.Losses, Quarantined: s.Rejected()})
 	}
 	for _, s := range i.directory.All() {
 		d.Servers = append(d.Servers, ServerDump{
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwroute"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,10 +25,10 @@
 	quarantineCrashes = 3
 )
 
-// fingerprint identifies a request across retries: it covers the organisation,
+// computeFingerprint returns the identity of a request across retries: it covers the organisation,
 // method, host, path, query and body. Ids of the request and of parts of its prompt may
 // be new in each attempt.
-func (c *call) fingerprint() rwpoison.Fingerprint {
+func (c *call) computeFingerprint() rwpoison.Fingerprint {
 	h := xxhash.New()
 	for _, part := range []string{c.org.Name, c.r.Method, c.r.Host, c.requestTarget()} {
 		_, _ = h.WriteString(part)
@@ -35,46 +38,86 @@
 	return rwpoison.Fingerprint(h.Sum64())
 }
 
-// Reasons why the loss of a server is not counted against the request that it ran.
+// lossReason tells why the loss of a server is not counted as a crash by the request
+// that it ran.
+type lossReason string
+
 const (
-	reasonCorrelated    = "correlated"    // another server of its zone was lost at the same time, or it is not listed
-	reasonAccepts       = "accepts"       // its address accepts connections
-	reasonReused        = "reused"        // the request was sent on a reused connection
-	reasonOwnTimeout    = "own-timeout"   // this instance ended the attempt
-	reasonDeadline      = "deadline"      // the deadline had passed
-	reasonCallerLeft    = "caller-left"   // the caller disconnected
-	reasonEndedNoEvents = "ended-quietly" // the stream ended in order, without an event
+	lossCorrelated lossReason = "correlated" // another server of its zone was lost at the same time, or it is not listed
+	lossResponds   lossReason = "responds"   // it accepts connections
 )
 
-// reportCrash suspects the request of having crashed a server that was lost while
-// running it. It does nothing if the server accepts connections or was lost together
-// with others of its zone.
-func (c *call) reportCrash(server rwbackend.Entry, cause error) {
-	fingerprint, f := c.fingerprint(), c.f
+// reportLoss records that a server was lost while it ran the request. Later it is judged
+// whether the request crashed the server.
+func (c *call) reportLoss(server rwbackend.Entry, cause error) {
+	at := time.Now()
+	c.countLoss(server, cause)
 	time.AfterFunc(crashCheckDelay, func() {
-		if f.Directory.IsCorrelatedLoss(server.ID) {
-			c.logLossIgnored(server, reasonCorrelated, cause)
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		defer cancel()
-		if accepted, _ := rwlink.TryConnect(ctx, server.Address, dialTimeout/2); accepted {
-			c.logLossIgnored(server, reasonAccepts, cause)
+		reason := c.judgeLoss(server)
+		if reason == "" {
+			c.countCrash(server, cause)
 			return
 		}
-		crashes := len(f.Poison.Get(fingerprint).Servers)
-		suspicion := f.Poison.Implicate(fingerprint, server.ID, crashes >= quarantineCrashes-1)
-		f.Counters.increment("crashes_counted")
-		f.Log.Info("server crashed while running a request", "request", c.info.ID, "fingerprint", fingerprint.String(), "server", server.ID, "cause", cause.Error(),
-			"crashes", len(suspicion.Servers), "quarantined", suspicion.Quarantined)
-		f.NotifySuspicion(suspicion)
+		c.f.Counters.increment("crashes_ignored_" + string(reason))
+		c.f.Log.Info("server loss not counted as a crash", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "reason", string(reason),
+			"cause", cause.Error(), "age", time.Since(at).Seconds())
 	})
 }
 
-// logLossIgnored logs that the loss of a server is not counted against the request.
-func (c *call) logLossIgnored(server rwbackend.Entry, reason string, cause error) {
-	fingerprint := c.fingerprint()
-	c.f.Counters.increment("crashes_ignored_" + reason)
-	c.f.Log.Info("server loss not counted against the request", "request", c.info.ID, "fingerprint", fingerprint.String(), "server", server.ID, "reason", reason,
-		"cause", cause.Error(), "crashes", len(c.f.Poison.Get(fingerprint).Servers))
+// judgeLoss returns why the request did not crash a lost server; the reason is empty if
+// it did, as far as can be told.
+func (c *call) judgeLoss(server rwbackend.Entry) lossReason {
+	if c.f.Directory.IsCorrelatedLoss(server.ID) {
+		return lossCorrelated
+	}
+	if accepted, _ := rwlink.TryConnect(context.Background(), server.Address, dialTimeout/2); accepted {
+		return lossResponds
+	}
+	return ""
+}
+
+const lossSeparator = "/"
+
+// processName returns a name of the server's process, which its restart changes.
+func processName(server rwbackend.Entry) string {
+	return server.ID + lossSeparator + strconv.FormatInt(server.Incarnation, 10)
+}
+
+func (c *call) countLoss(server rwbackend.Entry, cause error) {
+	c.recordSuspicion("server lost while running a request", "losses_counted", server, cause, c.f.Poison.RecordLoss(c.fingerprint, processName(server)))
+}
+
+func (c *call) countCrash(server rwbackend.Entry, cause error) {
+	crashes := len(c.f.Poison.Get(c.fingerprint).Servers)
+	s := c.f.Poison.Implicate(c.fingerprint, processName(server), crashes >= quarantineCrashes-1)
+	c.recordSuspicion("server crashed while running a request", "crashes_counted", server, cause, s)
+}
+
+// recordSuspicion logs, counts and publishes a suspicion.
+func (c *call) recordSuspicion(text, counter string, server rwbackend.Entry, cause error, s rwpoison.Suspicion) {
+	c.f.Counters.increment(counter)
+	c.f.Log.Info(text, "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "incarnation", server.Incarnation, "cause", cause.Error(),
+		"losses", len(s.Losses), "crashes", len(s.Servers), "quarantined", s.Rejected())
+	c.f.NotifySuspicion(s)
+}
+
+// recordSurvival records that a server returned a whole response to the request, which
+// therefore doesn't crash servers.
+func (c *call) recordSurvival() {
+	if s, ok := c.f.Poison.Complete(c.fingerprint); ok {
+		c.f.NotifySuspicion(s)
+	}
+}
+
+// checkQuarantine rejects a request under which too many servers crashed or were lost.
+// It is called before each attempt.
+func (c *call) checkQuarantine() error {
+	refusal := c.f.Poison.QuarantineError(c.fingerprint)
+	switch {
+	case refusal == nil:
+		return nil
+	case c.attempts > 0 && c.route.Kind != rwroute.KindOnce:
+		return refusal.WithRan(rwerror.RanUnknown)
+	}
+	return refusal
 }
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -16,7 +16,7 @@
 	newCall := func(org, target, body string, info RequestInfo) *call {
 		return &call{r: httptest.NewRequest("POST", target, strings.NewReader(body)), org: rwroute.Organisation{Name: org}, body: []byte(body), info: info}
 	}
-	first := newCall("team", "/drafts/1", "text", RequestInfo{ID: "a", LastPart: "p1"}).fingerprint()
+	first := newCall("team", "/drafts/1", "text", RequestInfo{ID: "a", LastPart: "p1"}).computeFingerprint()
 	for name, c := range map[string]struct {
 		again *call
 		same  bool
@@ -30,7 +30,7 @@
 		"other organisation":        {newCall("guild", "/drafts/1", "text", RequestInfo{ID: "a"}), false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, c.same, c.again.fingerprint() == first)
+			require.Equal(t, c.same, c.again.computeFingerprint() == first)
 		})
 	}
 }
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -85,6 +85,7 @@
 	org                 rwroute.Organisation
 	service             rwroute.Service
 	body                []byte
+	fingerprint         rwpoison.Fingerprint // set when the body has been read
 	startedAt           time.Time
 	deadline            time.Time       // by which the caller gets a final response
 	routeTimeoutApplies bool            // the deadline comes from the route's timeout, not from the caller
@@ -106,6 +107,7 @@
 	}
 	if err == nil {
 		f.Counters.countRequest(c.route.Kind)
+		c.fingerprint = c.computeFingerprint()
 		err = c.checkQuarantine()
 	}
 	if err == nil {
@@ -156,15 +158,6 @@
 	return nil
 }
 
-// checkQuarantine rejects a request that is quarantined because several servers
-// crashed while running it.
-func (c *call) checkQuarantine() error {
-	if refusal := c.f.Poison.QuarantineError(c.fingerprint()); refusal != nil {
-		return refusal
-	}
-	return nil
-}
-
 // awaitInitialState waits up to startupWait for the settings and the server list.
 // On an instance that has just started this is faster than a retry by the caller.
 func (c *call) awaitInitialState() bool {
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -107,6 +107,9 @@
 	if err := c.checkKey(); err != nil {
 		return failed(rwattempt.OutcomeRefused, err)
 	}
+	if err := c.checkQuarantine(); err != nil {
+		return failed(rwattempt.OutcomeRefused, err)
+	}
 	ctx := c.r.Context()
 	if ctx.Err() != nil {
 		return failed(rwattempt.OutcomeRefused, callerLeftError())
@@ -137,17 +140,12 @@
 	response, err := c.exchange(conn, server.ID)
 	if err != nil {
 		conn.Close()
-		switch {
-		case ctx.Err() != nil && !nonIdempotent && c.r.Context().Err() != nil:
-			c.logLossIgnored(server.Entry, reasonCallerLeft, err)
-		case ctx.Err() != nil:
-			c.logLossIgnored(server.Entry, reasonOwnTimeout, err)
-		case reused:
-			c.logLossIgnored(server.Entry, reasonReused, err)
-		default:
-			c.f.Directory.RecordLoss(server.ID)
-			c.reportCrash(server.Entry, err)
-			c.recordVersionOutcome(server, true, 0)
+		if ctx.Err() == nil {
+			c.reportLoss(server.Entry, err)
+			if !reused {
+				c.f.Directory.RecordLoss(server.ID)
+				c.recordVersionOutcome(server, true, 0)
+			}
 		}
 		c.logAttempt("exchange interrupted", server.ID, err)
 		return failed(rwattempt.OutcomeUnknown, c.outcomeUnknownError(server.ID, err))
@@ -173,6 +171,7 @@
 		c.logAttempt("request not run by the server", response.server, nil)
 		return rwattempt.Result[serverResponse]{Outcome: rwattempt.OutcomeNotRun, Err: notRunError(response.server)}
 	}
+	c.recordSurvival()
 	failed := response.status >= http.StatusInternalServerError
 	c.f.Directory.RecordResponse(response.server, failed, took, response.reply.Load)
 	if response.status < 300 && !response.success() || !response.reply.Signed && response.status >= 300 {
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -26,6 +26,10 @@
 		s.attempts = s.route.Attempts // final: make no further attempt
 		return false, err
 	}
+	if err := s.checkQuarantine(); err != nil {
+		s.attempts = s.route.Attempts // final: make no further attempt
+		return false, err
+	}
 	ctx, cancel := context.WithTimeout(s.r.Context(), s.remaining())
 	defer cancel()
 	// Use a new connection: a restarted server may have dropped an idle one.
@@ -148,14 +152,11 @@
 // for the caller. If the caller left, it only returns errCallerLeft.
 func (s *stream) recordInterruption(target attemptTarget, cause error) error {
 	if s.r.Context().Err() != nil {
-		s.logLossIgnored(target.server.Entry, reasonCallerLeft, cause)
 		return errCallerLeft
 	}
-	if s.remaining() <= 0 {
-		s.logLossIgnored(target.server.Entry, reasonDeadline, cause)
-	} else {
+	if s.remaining() > 0 {
 		s.markServerLost(target.server)
-		s.reportCrash(target.server.Entry, cause)
+		s.reportLoss(target.server.Entry, cause)
 		s.recordVersionOutcome(target.server, true, 0)
 	}
 	s.f.Counters.countStreamLost(interruptionCause(cause))
@@ -187,6 +188,7 @@
 	if err != nil {
 		return false, s.recordInterruption(target, err)
 	}
+	s.recordSurvival()
 	s.f.Directory.RecordResponse(target.server.ID, true, 0, reply.Load)
 	s.recordVersionOutcome(target.server, true, 0)
 	s.logAttempt("failed", target.server.ID, errors.Errorf("status %d", response.StatusCode))
@@ -258,13 +260,17 @@
 func (s *stream) rejectEmptyEnd(target attemptTarget) error {
 	s.emptyEndAttempt = s.attempts
 	s.logAttempt("stream ended without events", target.server.ID, nil)
-	s.logLossIgnored(target.server.Entry, reasonEndedNoEvents, io.EOF)
+	s.reportLoss(target.server.Entry, io.EOF)
 	return rwerror.New(rwerror.KindOutcomeUnknown, "retry with the id of the last event",
 		"backend server %s ended the stream without an event", target.server.ID).WithRan(rwerror.RanUnknown)
 }
 
-// recordCompletion records the end of a complete stream.
+// recordCompletion records the end of a complete stream. server is empty if none confirmed
+// the end.
 func (s *stream) recordCompletion(server string, reply ResponseInfo) {
+	if server != "" {
+		s.recordSurvival()
+	}
 	s.f.Directory.RecordResponse(server, false, 0, reply.Load)
 	first := time.Duration(0)
 	if s.eventsSent > 0 {
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -144,8 +144,8 @@
 	}
 	for _, s := range n.Suspicions {
 		x.Poison.Merge(s)
-		x.Log.Info("suspicion received from a peer", "fingerprint", s.Fingerprint.String(), "by", n.From, "crashes", len(s.Servers),
-			"known", len(x.Poison.Get(s.Fingerprint).Servers), "quarantined", s.Quarantined)
+		x.Log.Info("suspicion received from a peer", "fingerprint", s.Fingerprint.String(), "by", n.From, "losses", len(s.Losses), "crashes", len(s.Servers), "completed", s.Completed,
+			"quarantined", x.Poison.Get(s.Fingerprint).Rejected())
 	}
 	if n.Hello {
 		x.sendRuns(n.From)
--- a/internal/rwpoison/registry_test.go
+++ b/internal/rwpoison/registry_test.go
@@ -56,3 +56,49 @@
 		})
 	}
 }
+
+// TestLossesBounded guards against requests that are sent on without end because the
+// causes of the losses under them can't be told.
+func TestLossesBounded(t *testing.T) {
+	lose := func(r *Registry, servers ...string) {
+		for _, server := range servers {
+			r.RecordLoss(1, server)
+		}
+	}
+	five := []string{"a", "b", "c", "d", "e"}
+	for name, c := range map[string]struct {
+		record   func(r *Registry)
+		rejected bool
+	}{
+		"four servers":             {func(r *Registry) { lose(r, "a", "b", "c", "d") }, false},
+		"five servers":             {func(r *Registry) { lose(r, five...) }, true},
+		"one loss, reported again": {func(r *Registry) { lose(r, "a", "a", "a", "a", "a") }, false},
+		"completed in between":     {func(r *Registry) { lose(r, "a", "b", "c"); r.Complete(1); lose(r, "d", "e") }, false},
+		"known from a peer": {func(r *Registry) {
+			lose(r, "a", "b")
+			r.Merge(Suspicion{Fingerprint: 1, Losses: []string{"b", "c", "d", "e"}})
+		}, true},
+		"completed at a peer":         {func(r *Registry) { lose(r, five...); r.Merge(Suspicion{Fingerprint: 1, Losses: five, Completed: true}) }, false},
+		"completed before a loss":     {func(r *Registry) { lose(r, five...); r.Merge(Suspicion{Fingerprint: 1, Completed: true}) }, true},
+		"expired":                     {func(r *Registry) { lose(r, five...); time.Sleep(suspicionTTL + 1) }, false},
+		"quarantined, then completed": {func(r *Registry) { r.Implicate(1, "a", false); r.Implicate(1, "b", true); r.Complete(1) }, true},
+		"released":                    {func(r *Registry) { lose(r, five...); r.Release(1) }, false},
+		"one server that restarts under its name": {func(r *Registry) {
+			for range five {
+				lose(r, "a")
+				time.Sleep(newLossAfter)
+			}
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var r Registry
+				c.record(&r)
+				require.Equal(t, c.rejected, r.QuarantineError(1) != nil)
+				if c.rejected {
+					require.True(t, r.Get(1).Rejected())
+				}
+			})
+		})
+	}
+}
