rwforward: judge a lost server by its process, not by its address alone

What callers saw: a request that crashes servers was quarantined late, after five losses instead of three crashes. Cause: a crash was left out if the address accepted connections again (another process), if the entry was replaced or removed, or if another server of the zone was lost within 500 ms, although the request itself had crashed that one. Losses that were never recorded counted as simultaneous, their times both being zero. Losses on kept connections, and of servers that fell silent until the attempt's time was over, were never judged. Change: the directory tells the fate of a process: it responded since, a newer one runs under its id or at its address, it leaves in order, it is no longer listed. Servers that ran the same request are no sign of another cause. Where this instance or the caller ended the exchange, the loss counts if the process has ended. Evidence: TestJudgeLoss fails in 8 of 10 cases with the former conditions put back.

--- a/internal/rwbackend/directory_test.go
+++ b/internal/rwbackend/directory_test.go
@@ -101,13 +101,15 @@
 		d.PutRun(rwbackend.Run{ID: "r", Owner: "self", Server: "s4", Copy: "s2"})
 		require.True(t, d.RecordLoss("s0"))
 		require.Empty(t, d.ServersToProbe("s0"), "a single loss does not indicate a zone failure")
-		require.False(t, d.IsCorrelatedLoss("s0"))
+		none := func(string) bool { return false }
+		s0, _ := d.Entry("s0")
+		require.False(t, d.IsCorrelatedLoss(s0, time.Now(), none))
 		d.RecordLoss("s1")
 		toProbe := d.ServersToProbe("s1")
 		require.Len(t, toProbe, 1)
 		require.Equal(t, "s2", toProbe[0].ID)
 		require.Empty(t, d.ServersToProbe("s1"), "a server is returned once per window")
-		require.True(t, d.IsCorrelatedLoss("s0"))
+		require.True(t, d.IsCorrelatedLoss(s0, time.Now(), none))
 		require.False(t, d.RecordLoss("s0"), "a repeated loss within the window is not reported again")
 	})
 }
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -126,24 +126,55 @@
 	return others
 }
 
-// IsCorrelatedLoss reports whether another server of the same zone and service was
-// lost within zoneLossWindow of this one. It also returns true if the server is
-// no longer listed.
-func (d *Directory) IsCorrelatedLoss(id string) bool {
+// IsCorrelatedLoss reports whether another server of the zone and service of e was lost
+// within zoneLossWindow of a time. Servers that isExcluded accepts are left out.
+func (d *Directory) IsCorrelatedLoss(e Entry, at time.Time, isExcluded func(id string) bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s, ok := d.servers[id]
-	if !ok {
-		return true
-	}
-	for _, o := range d.services[s.Service] {
-		if o != s && o.Zone == s.Zone && s.lostAt.Sub(o.lostAt).Abs() < zoneLossWindow {
+	for _, o := range d.services[e.Service] {
+		if o.ID != e.ID && o.Zone == e.Zone && !o.lostAt.IsZero() && at.Sub(o.lostAt).Abs() < zoneLossWindow && !isExcluded(o.ID) {
 			return true
 		}
 	}
 	return false
 }
 
+// Fate is what the directory knows of a server's process since an event.
+type Fate int
+
+// The fates of a server's process.
+const (
+	FateUnknown  Fate = iota
+	FateResponds      // it has sent a response since
+	FateReplaced      // it has ended: a newer process runs under its id or at its address
+	FateLeaving       // it shuts down in order
+	FateUnlisted      // its entry was removed
+)
+
+// Fate returns what is known of a server's process since a time. e is its entry of
+// that time.
+func (d *Directory) Fate(e Entry, since time.Time) Fate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, o := range d.services[e.Service] {
+		if o.Address == e.Address && o.Incarnation > e.Incarnation {
+			return FateReplaced
+		}
+	}
+	s, ok := d.servers[e.ID]
+	switch {
+	case !ok:
+		return FateUnlisted
+	case s.Incarnation > e.Incarnation:
+		return FateReplaced
+	case s.Leaving:
+		return FateLeaving
+	case s.receivedAt.After(since):
+		return FateResponds
+	}
+	return FateUnknown
+}
+
 // holdsOwnRunLocked reports whether a server holds an active run of this instance
 // or a copy of one.
 func (d *Directory) holdsOwnRunLocked(s *Server) bool {
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
@@ -10,6 +11,7 @@
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwroute"
+	"ragwortwall/pkg/rwset"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -38,42 +40,69 @@
 	return rwpoison.Fingerprint(h.Sum64())
 }
 
-// lossReason tells why the loss of a server is not counted as a crash by the request
-// that it ran.
+// lossReason tells why the loss of a server is not counted against the request that it
+// ran.
 type lossReason string
 
 const (
-	lossCorrelated lossReason = "correlated" // another server of its zone was lost at the same time, or it is not listed
-	lossResponds   lossReason = "responds"   // it accepts connections
+	lossCorrelated lossReason = "correlated" // another server of its zone was lost at the same time
+	lossResponds   lossReason = "responds"   // the server has sent a response since, or accepts connections
+	lossLeaving    lossReason = "leaving"    // it was shutting down in order
+	lossUnlisted   lossReason = "unlisted"   // its entry was removed, so its end may have been in order
 )
 
-// reportLoss records that a server was lost while it ran the request. Later it is judged
-// whether the request crashed the server.
-func (c *call) reportLoss(server rwbackend.Entry, cause error) {
+// reportLoss records that an exchange with a server ended without a complete response.
+// broken reports that the server or the network broke the connection; otherwise this
+// instance or the caller ended the exchange, and the server is lost only if it turns out
+// to have ended. Later it is judged whether the request crashed the server.
+func (c *call) reportLoss(server rwbackend.Entry, broken bool, cause error) {
 	at := time.Now()
-	c.countLoss(server, cause)
+	if broken {
+		c.countLoss(server, cause)
+	}
 	time.AfterFunc(crashCheckDelay, func() {
-		reason := c.judgeLoss(server)
+		ended, reason := c.judgeLoss(server, at)
+		if ended && !broken {
+			c.countLoss(server, cause)
+		}
 		if reason == "" {
 			c.countCrash(server, cause)
 			return
 		}
 		c.f.Counters.increment("crashes_ignored_" + string(reason))
 		c.f.Log.Info("server loss not counted as a crash", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "reason", string(reason),
-			"cause", cause.Error(), "age", time.Since(at).Seconds())
+			"broken", broken, "cause", cause.Error(), "age", time.Since(at).Seconds())
 	})
 }
 
-// judgeLoss returns why the request did not crash a lost server; the reason is empty if
-// it did, as far as can be told.
-func (c *call) judgeLoss(server rwbackend.Entry) lossReason {
-	if c.f.Directory.IsCorrelatedLoss(server.ID) {
-		return lossCorrelated
+// judgeLoss reports whether a server has ended since a time, and why the request did not
+// crash it; the reason is empty if it did, as far as can be told.
+func (c *call) judgeLoss(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
+	d := c.f.Directory
+	switch d.Fate(server, since) {
+	case rwbackend.FateResponds:
+		return false, lossResponds
+	case rwbackend.FateLeaving:
+		return true, lossLeaving
+	case rwbackend.FateUnlisted:
+		return true, lossUnlisted
+	case rwbackend.FateReplaced:
+	case rwbackend.FateUnknown:
+		if accepted, _ := rwlink.TryConnect(context.Background(), server.Address, dialTimeout/2); accepted {
+			return false, lossResponds
+		}
+	}
+	// Servers that ran the request and were lost at the same time are no sign of
+	// another cause.
+	ran := rwset.New[string]()
+	for _, loss := range c.f.Poison.Get(c.fingerprint).Losses {
+		id, _, _ := strings.Cut(loss, lossSeparator)
+		ran.Add(id)
 	}
-	if accepted, _ := rwlink.TryConnect(context.Background(), server.Address, dialTimeout/2); accepted {
-		return lossResponds
+	if d.IsCorrelatedLoss(server, since, ran.Has) {
+		return true, lossCorrelated
 	}
-	return ""
+	return true, ""
 }
 
 const lossSeparator = "/"
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -1,13 +1,20 @@
 package rwforward
 
 import (
+	"cmp"
+	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwroute"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // TestFingerprintAcrossRetries guards against requests that crash servers and are not
@@ -34,3 +41,76 @@
 		})
 	}
 }
+
+// refusingAddress returns an address that refuses connections during the test.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
+// TestJudgeLoss guards against crashes that are left out when they are judged: because the
+// request crashed several servers of a zone in a row, because the server was back already,
+// or because the loss of a server was not recorded.
+func TestJudgeLoss(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	open := listener.Addr().String()
+	server := rwbackend.Entry{ID: "s1", Service: "model", Zone: "a", Address: refusingAddress(t), Incarnation: 1}
+	other := rwbackend.Entry{ID: "s2", Service: "model", Zone: "a", Address: "192.0.2.1:1", Incarnation: 1}
+	with := func(e rwbackend.Entry, change func(e *rwbackend.Entry)) rwbackend.Entry {
+		change(&e)
+		return e
+	}
+	for name, c := range map[string]struct {
+		prepare func(d *rwbackend.Directory, p *rwpoison.Registry)
+		address string // of the server; one that refuses connections if empty
+		ended   bool
+		reason  lossReason
+	}{
+		"alone":               {func(d *rwbackend.Directory, _ *rwpoison.Registry) { d.RecordLoss("s1") }, "", true, ""},
+		"losses not recorded": {func(*rwbackend.Directory, *rwpoison.Registry) {}, "", true, ""},
+		"with another": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			d.RecordLoss("s1")
+			d.RecordLoss("s2")
+		}, "", true, lossCorrelated},
+		"with another of its own": {func(d *rwbackend.Directory, p *rwpoison.Registry) {
+			d.RecordLoss("s1")
+			d.RecordLoss("s2")
+			p.RecordLoss(7, processName(other))
+		}, "", true, ""},
+		"accepts connections": {func(*rwbackend.Directory, *rwpoison.Registry) {}, open, false, lossResponds},
+		"responds": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			time.Sleep(time.Millisecond)
+			d.RecordFirstEvent("s1")
+		}, "", false, lossResponds},
+		"back under its id": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			d.Put(with(server, func(e *rwbackend.Entry) { e.Incarnation, e.Address = 2, open }))
+		}, "", true, ""},
+		"back under another id": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			d.Put(with(server, func(e *rwbackend.Entry) { e.Incarnation, e.ID = 2, "s3" }))
+		}, "", true, ""},
+		"leaving": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			d.Put(with(server, func(e *rwbackend.Entry) { e.Leaving = true }))
+		}, "", true, lossLeaving},
+		"unlisted": {func(d *rwbackend.Directory, _ *rwpoison.Registry) { d.Remove("s1") }, "", true, lossUnlisted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, poison := rwbackend.NewDirectory("self"), &rwpoison.Registry{}
+			d.Put(server)
+			d.Put(other)
+			call := &call{f: &Forwarder{Directory: d, Poison: poison}, fingerprint: 7}
+			since := time.Now()
+			c.prepare(d, poison)
+			ended, reason := call.judgeLoss(with(server, func(e *rwbackend.Entry) { e.Address = cmp.Or(c.address, e.Address) }), since)
+			require.Equal(t, c.ended, ended)
+			require.Equal(t, c.reason, reason)
+		})
+	}
+}
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -140,12 +140,11 @@
 	response, err := c.exchange(conn, server.ID)
 	if err != nil {
 		conn.Close()
-		if ctx.Err() == nil {
-			c.reportLoss(server.Entry, err)
-			if !reused {
-				c.f.Directory.RecordLoss(server.ID)
-				c.recordVersionOutcome(server, true, 0)
-			}
+		broken := ctx.Err() == nil
+		c.reportLoss(server.Entry, broken, err)
+		if broken && !reused {
+			c.f.Directory.RecordLoss(server.ID)
+			c.recordVersionOutcome(server, true, 0)
 		}
 		c.logAttempt("exchange interrupted", server.ID, err)
 		return failed(rwattempt.OutcomeUnknown, c.outcomeUnknownError(server.ID, err))
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -151,12 +151,14 @@
 // recordInterruption records that a stream failed on a server, and returns the error
 // for the caller. If the caller left, it only returns errCallerLeft.
 func (s *stream) recordInterruption(target attemptTarget, cause error) error {
-	if s.r.Context().Err() != nil {
+	callerLeft := s.r.Context().Err() != nil || errors.Is(cause, errCallerLeft)
+	own := callerLeft || s.remaining() <= 0 || errors.Is(cause, errHung) || errors.Is(cause, errEventGap) || errors.Is(cause, errInvalidResponse)
+	s.reportLoss(target.server.Entry, !own, cause)
+	if callerLeft {
 		return errCallerLeft
 	}
 	if s.remaining() > 0 {
 		s.markServerLost(target.server)
-		s.reportLoss(target.server.Entry, cause)
 		s.recordVersionOutcome(target.server, true, 0)
 	}
 	s.f.Counters.countStreamLost(interruptionCause(cause))
@@ -260,7 +262,7 @@
 func (s *stream) rejectEmptyEnd(target attemptTarget) error {
 	s.emptyEndAttempt = s.attempts
 	s.logAttempt("stream ended without events", target.server.ID, nil)
-	s.reportLoss(target.server.Entry, io.EOF)
+	s.reportLoss(target.server.Entry, true, io.EOF)
 	return rwerror.New(rwerror.KindOutcomeUnknown, "retry with the id of the last event",
 		"backend server %s ended the stream without an event", target.server.ID).WithRan(rwerror.RanUnknown)
 }
