Tests and the lab take loopback addresses that nothing else can take

Cause: a free port was looked up by a listener on port 0, closed and used later; in between, any other listener or outgoing connection could get it. Change: rwloopback gives each process an IP address of 127.64.0.0/10 by its id, and its ports in order. The system picks 127.0.0.1 for outgoing connections and port 0, so nothing else can take them.

--- a/cmd/rwentry/main_test.go
+++ b/cmd/rwentry/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"ragwortwall/internal/rwloopback"
 	"ragwortwall/platform"
 	"ragwortwall/platform/standin"
 
@@ -23,14 +23,6 @@
 	pollInterval = 20 * time.Millisecond
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // TestLogReaderGone checks that an instance keeps serving, and stops on SIGTERM, after
 // the reader of its standard output has gone: SIGPIPE from the next log line would
 // otherwise end the process.
@@ -45,7 +37,7 @@
 	defer server.Close()
 	i := standin.Instance{
 		Name: "entry-0", Zone: "a", StoreAddress: strings.TrimPrefix(server.URL, "http://"),
-		CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), ControlAddress: freeAddress(t), NoticeAddress: freeAddress(t),
+		CallerAddress: rwloopback.Address(), ReadyAddress: rwloopback.Address(), ControlAddress: rwloopback.Address(), NoticeAddress: rwloopback.Address(),
 	}
 	file := filepath.Join(folder, "settings.json")
 	require.NoError(t, os.WriteFile(file, i.SettingsFile(), 0o600))
--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -13,6 +13,7 @@
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwfeed"
+	"ragwortwall/internal/rwloopback"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
 
@@ -265,14 +266,6 @@
 	require.Equal(t, int64(7), s.Table().Version)
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // TestFollowAfterStart guards against a follower that stays with a peer that has the
 // settings but not yet the servers, as when all instances start at once. It must go on
 // to a peer that has both.
@@ -282,7 +275,7 @@
 	defer wg.Wait()
 	defer cancel()
 	start := func(hasSettings, hasServers bool) string {
-		address := freeAddress(t)
+		address := rwloopback.Address()
 		caches := []*rwfeed.Cache{newCache(&recorder{}), newCache(&recorder{})}
 		caches[1].Kind = "servers"
 		for n, known := range []bool{hasSettings, hasServers} {
@@ -325,7 +318,7 @@
 	defer cancel()
 	old := rwfeed.Batch{Revision: 3, Snapshot: true, Changes: []rwfeed.Change{change("a", 3)}}
 	start := func(newer bool) string {
-		address := freeAddress(t)
+		address := rwloopback.Address()
 		cache := newCache(&recorder{})
 		cache.Update(old, rwtime.Now()-rwtime.BootTime(2*time.Second))
 		if newer {
@@ -360,7 +353,7 @@
 // TestFollowPeer checks that a follower gets changes and deletions from a peer, and
 // that the age of the contents at the peer is counted.
 func TestFollowPeer(t *testing.T) {
-	address := freeAddress(t)
+	address := rwloopback.Address()
 	var localApplied, remoteApplied recorder
 	remote, local := newCache(&remoteApplied), newCache(&localApplied)
 	server := &rwfeed.PeerServer{Address: address, Caches: []*rwfeed.Cache{remote}, Log: logr.Discard()}
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -10,11 +9,11 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwloopback"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwroute"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 )
 
 // TestFingerprintAcrossRetries guards against requests that crash servers and are not
@@ -42,18 +41,6 @@
 	}
 }
 
-// refusingAddress returns an address that refuses connections during the test.
-func refusingAddress(t *testing.T) string {
-	t.Helper()
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = unix.Close(fd) })
-	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	bound, err := unix.Getsockname(fd)
-	require.NoError(t, err)
-	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
-}
-
 // TestJudgeLoss guards against crashes that are left out when they are judged: because the
 // request crashed several servers of a zone in a row, because the server was back already,
 // or because the loss of a server was not recorded.
@@ -62,7 +49,7 @@
 	require.NoError(t, err)
 	defer listener.Close()
 	open := listener.Addr().String()
-	server := rwbackend.Entry{ID: "s1", Service: "model", Zone: "a", Address: refusingAddress(t), Incarnation: 1}
+	server := rwbackend.Entry{ID: "s1", Service: "model", Zone: "a", Address: rwloopback.Address(), Incarnation: 1}
 	other := rwbackend.Entry{ID: "s2", Service: "model", Zone: "a", Address: "192.0.2.1:1", Incarnation: 1}
 	with := func(e rwbackend.Entry, change func(e *rwbackend.Entry)) rwbackend.Entry {
 		change(&e)
--- a/internal/rwlab/fleet.go
+++ b/internal/rwlab/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"ragwortwall/internal/rwloopback"
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwtree"
 
@@ -85,7 +85,7 @@
 	}
 	for n := range f.Services {
 		name := fmt.Sprintf("s%d", n+1)
-		f.addresses[name] = addresses{main: freeAddress()}
+		f.addresses[name] = addresses{main: rwloopback.Address()}
 		if err := f.startProcess(name, "rwstandin", "service", "--listen", f.addresses[name].main); err != nil {
 			return err
 		}
@@ -102,7 +102,7 @@
 }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	f.platform = freeAddress()
+	f.platform = rwloopback.Address()
 	if err := f.startProcess("platform", "rwstandin", "platform", "--listen", f.platform, "--lag", "0s"); err != nil {
 		return err
 	}
@@ -113,7 +113,7 @@
 
 func (f *Fleet) startEngine(n int) error {
 	name := fmt.Sprintf("e%d", n+1)
-	f.addresses[name] = addresses{main: freeAddress()}
+	f.addresses[name] = addresses{main: rwloopback.Address()}
 	arguments := []string{"engine", "--listen", f.addresses[name].main, "--capacity", fmt.Sprint(f.Capacity)}
 	for _, v := range f.versions() {
 		arguments = append(arguments, "--version", v)
@@ -134,7 +134,7 @@
 	name := f.InstanceName(n)
 	a, known := f.addresses[name]
 	if !known {
-		a = addresses{main: freeAddress(), instances: freeAddress(), operators: freeAddress()}
+		a = addresses{main: rwloopback.Address(), instances: rwloopback.Address(), operators: rwloopback.Address()}
 		f.addresses[name] = a
 		entry := map[string]string{"address": a.instances, "zone": f.zone(n)}
 		if err := f.createObject(rwobject.New(rwobject.KindInstances, name, entry)); err != nil {
@@ -387,14 +387,3 @@
 func (f *Fleet) createObject(o rwobject.Object) error {
 	return f.call(http.MethodPost, "http://"+f.platform+"/apis/ragwortwall/v1/"+o.Kind, o, nil)
 }
-
-// freeAddress returns a loopback address on which nothing listens. It reserves
-// nothing: another process can take the port before it is used.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
