Quarantines of the users' platform are stored and reach every instance

What callers saw: after a restart, or at an instance that started later or had missed a datagram, a request that had crashed three servers took another three or more. Cause: the count of crashes lived in the memory of the instances and was told once, by a datagram. Class: a promise of the fleet kept by evidence that each process may lose. Change: a rejected request is an object of a kind of our own, written by an instance that watches the store, fed to all like the settings, deleted when it has ended. Deleting it by hand releases the request. Why this works: an instance is ready only after its feeds are filled, and a watch ends as soon as there is a new object.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -28,6 +28,9 @@
 	// movesWatchTimeout is the long-poll timeout of a watch on the version moves. A
 	// move begins with a canary, so a delay of a second matters little.
 	movesWatchTimeout = 10 * time.Second
+	// quarantinesWatchTimeout is the long-poll timeout of a watch on the quarantines. A
+	// new one ends the wait.
+	quarantinesWatchTimeout = 25 * time.Second
 	// peerFallbackAge is the age of the desired state from which a watcher that gets
 	// no confirmation from the store also follows its peers.
 	peerFallbackAge = 1800 * time.Millisecond
@@ -55,7 +58,7 @@
 	desiredState             rwfeed.Settings
 	serverList               rwfeed.ServerList
 	states, servers, members rwfeed.Cache
-	moves                    rwfeed.Cache
+	moves, quarantines       rwfeed.Cache
 	watchers                 []*rwfeed.Watcher
 	stateWatcher             *rwfeed.Watcher // watches the desired state
 	follower                 rwfeed.Follower
@@ -75,17 +78,18 @@
 	f.servers.Kind, f.servers.Apply, f.servers.Log = "servers", f.serverList.Apply, i.Log
 	f.members.Kind, f.members.Apply, f.members.Log = "instances", i.members.Apply, i.Log
 	f.moves.Kind, f.moves.Apply, f.moves.Log = "moves", i.moves.apply, i.Log
-	f.servers.IgnoreAge, f.members.IgnoreAge, f.moves.IgnoreAge = true, true, true
-	f.members.Optional, f.moves.Optional = true, true
+	f.quarantines.Kind, f.quarantines.Apply, f.quarantines.Log = "quarantines", i.suspects.apply, i.Log
+	f.servers.IgnoreAge, f.members.IgnoreAge, f.moves.IgnoreAge, f.quarantines.IgnoreAge = true, true, true, true
+	f.members.Optional, f.moves.Optional, f.quarantines.Optional = true, true, true
 	watch := func(cache *rwfeed.Cache, source rwfeed.Source, timeout, batchDelay time.Duration) *rwfeed.Watcher {
 		w := &rwfeed.Watcher{Cache: cache, Source: source, ShouldWatch: f.watchesStore, WatchWait: timeout, BatchDelay: batchDelay, Backoff: f.maxBackoff, Log: i.Log}
 		if stateWatcher := f.stateWatcher; stateWatcher != nil {
 			// While the store does not answer, only the watch on the desired state calls it.
 			// An instance that has just started and falls back to the store gets the version
-			// moves from its peers. It needs the list of instances at once: without it, all
+			// moves and quarantines from its peers. It needs the list of instances at once: without it, all
 			// such instances would follow the few seeds.
 			w.ShouldWatch = func() bool {
-				return !stateWatcher.Failing() && (f.isWatcher() || f.storeFallbackDue() && (cache != &f.moves || time.Since(f.started) > storeFallbackDelay))
+				return !stateWatcher.Failing() && (f.isWatcher() || f.storeFallbackDue() && (cache != &f.moves && cache != &f.quarantines || time.Since(f.started) > storeFallbackDelay))
 			}
 		} else {
 			f.stateWatcher = w
@@ -97,8 +101,9 @@
 	servers := watch(&f.servers, i.Stores.Servers, serversWatchTimeout, serversBatchDelay)
 	watch(&f.members, i.Stores.Members, membersWatchTimeout, time.Second)
 	watch(&f.moves, i.Stores.Moves, movesWatchTimeout, 0)
+	watch(&f.quarantines, i.Stores.Quarantines, quarantinesWatchTimeout, 0)
 	f.serverList.StoreRecoveredAt, f.serverList.Age = servers.RecoveredAt, f.servers.Age
-	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves}
+	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves, &f.quarantines}
 	f.follower = rwfeed.Follower{Caches: caches, Peers: f.peersToFollow, NoWait: f.stale, Log: i.Log}
 	f.peerServer = rwfeed.PeerServer{Address: i.Settings.PeerAddress, Caches: caches, Log: i.Log}
 }
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -44,6 +44,8 @@
 	Servers rwfeed.Source
 	Members MemberStore
 	Moves   MoveStore
+
+	Quarantines QuarantineStore
 }
 
 // MemberStore reads and writes the list of instances.
@@ -78,6 +80,7 @@
 	counters  rwforward.Counters
 	poison    rwpoison.Registry
 	moves     moves
+	suspects  quarantines
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
@@ -92,7 +95,7 @@
 	i.members.Self, i.members.Zone, i.members.Memory, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Settings.MemoryLimit, i.Log
 	i.exchange.Self, i.exchange.Incarnation, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.DatagramAddress
 	i.exchange.Members, i.exchange.Directory, i.exchange.Poison, i.exchange.Log = &i.members, i.directory, &i.poison, i.Log
-	i.moves.instance = i
+	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
 	i.forwarder = &rwforward.Forwarder{
@@ -106,7 +109,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.register, i.exchange.Run, i.exchange.Hello) {
+	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx)
--- a/internal/rwpoison/registry.go
+++ b/internal/rwpoison/registry.go
@@ -71,6 +71,14 @@
 // Rejected reports whether the request is not to be sent to any server.
 func (s Suspicion) Rejected() bool { return s.Quarantined || len(s.Losses) >= MaxLosses }
 
+// Life returns how long the suspicion counts after its last crash or loss.
+func (s Suspicion) Life() time.Duration {
+	if s.Quarantined {
+		return QuarantineLife
+	}
+	return suspicionTTL
+}
+
 // Registry stores the suspicions by request. The zero value is empty and ready for use.
 type Registry struct {
 	mu      sync.Mutex
@@ -106,11 +114,13 @@
 		name = fmt.Sprintf("%s#%d", server, n)
 	}
 	e.addLoss(name, now)
+	e.updatedAt = now
 	return e.suspicion(f)
 }
 
+// addLoss adds a loss, unless it is known or enough are known to reject the request.
 func (e *entry) addLoss(name string, now time.Time) {
-	if _, known := e.losses[name]; known {
+	if _, known := e.losses[name]; known || len(e.losses) >= MaxLosses {
 		return
 	}
 	if e.losses == nil {
@@ -282,13 +292,7 @@
 
 func (e *entry) rejected() bool { return e.quarantined || len(e.losses) >= MaxLosses }
 
-// life returns how long an entry counts after the last crash or loss.
-func (e *entry) life() time.Duration {
-	if e.quarantined {
-		return QuarantineLife
-	}
-	return suspicionTTL
-}
+func (e *entry) life() time.Duration { return Suspicion{Quarantined: e.quarantined}.Life() }
 
 // Sweep deletes expired suspicions.
 func (r *Registry) Sweep() {
