rwpeer: losses under a request reach instances that missed a datagram or start later

What callers saw: the losses under a crashing request were counted by each instance that had not heard of the others', so more servers were lost before it was rejected. Cause: a suspicion was sent once, in a datagram of its own, and an instance that starts asked its peers for runs only. Change: from the second loss on a suspicion is sent three times, each time as it is then; an instance that starts gets the latest 32; suspicions wait for the batch like runs and losses of servers, two to a notice, which fits 1,400 bytes.

--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,9 +33,11 @@
 const (
 	// maxNoticeBytes keeps a notice within one packet.
 	maxNoticeBytes = 1400
-	// maxRunsPerNotice and maxLostPerNotice are how many fit into maxNoticeBytes.
-	maxRunsPerNotice = 4
-	maxLostPerNotice = 16
+	// maxRunsPerNotice, maxLostPerNotice and maxSuspicionsPerNotice are how many fit into
+	// maxNoticeBytes.
+	maxRunsPerNotice       = 4
+	maxLostPerNotice       = 16
+	maxSuspicionsPerNotice = 2
 	// batchDelay is how long runs and losses are collected into one notice: the loss of
 	// a zone brings many at once, and each packet costs every instance a wake-up.
 	batchDelay = 5 * time.Millisecond
@@ -45,6 +48,12 @@
 	// helloCount is how often a starting instance sends its hello, as datagrams get lost.
 	helloCount    = 3
 	helloInterval = 300 * time.Millisecond
+	// suspicionCopies is how often a suspicion of more than one loss is sent, helloInterval
+	// apart. Single losses are sent once: they are many when a zone fails.
+	suspicionCopies = 3
+	// maxHelloSuspicions is how many suspicions an instance that has just started gets.
+	// Quarantines also reach it from the store.
+	maxHelloSuspicions = 32
 )
 
 // Exchange sends and receives notices. Set the exported fields before Run.
@@ -64,6 +73,8 @@
 	incarnations map[string]int64         // newest known of each instance
 	pendingRuns  []rwbackend.Run          // to be sent with the next notices
 	pendingLost  []string                 // to be sent with the next notices
+
+	pendingSuspicions []rwpoison.Suspicion // to be sent with the next notices
 }
 
 // Run receives notices until ctx ends.
@@ -148,18 +159,24 @@
 			"quarantined", x.Poison.Get(s.Fingerprint).Rejected())
 	}
 	if n.Hello {
-		x.sendRuns(n.From)
+		x.welcome(n.From)
 	}
 }
 
-// sendRuns sends all runs of this instance to an instance that has just started.
-func (x *Exchange) sendRuns(name string) {
+// welcome sends the runs of this instance and the latest suspicions to an instance that
+// has just started.
+func (x *Exchange) welcome(name string) {
 	var to []Member
 	for _, m := range x.Members.Others() {
 		if m.Name == name {
 			to = append(to, m)
 		}
 	}
+	suspicions := x.Poison.Known()
+	suspicions = suspicions[:min(maxHelloSuspicions, len(suspicions))]
+	for chunk := range slices.Chunk(suspicions, maxSuspicionsPerNotice) {
+		x.send(to, x.withSender(Notice{Suspicions: chunk}))
+	}
 	x.mu.Lock()
 	runs := make([]rwbackend.Run, 0, len(x.ownRuns))
 	for _, r := range x.ownRuns {
@@ -227,33 +244,55 @@
 	x.broadcast(x.withSender(Notice{VersionTotals: map[string]rwversion.Total{service: t}}))
 }
 
-// AnnounceSuspicion announces a request suspected of crashing servers.
+// AnnounceSuspicion announces a request under which servers were lost. A suspicion of
+// more than one loss is announced again, as it is then, in case datagrams get lost.
 func (x *Exchange) AnnounceSuspicion(s rwpoison.Suspicion) {
-	x.broadcast(x.withSender(Notice{Suspicions: []rwpoison.Suspicion{s}}))
+	x.announceSuspicion(s)
+	if s.Completed || len(s.Losses) < 2 && !s.Rejected() {
+		return
+	}
+	for n := range suspicionCopies - 1 {
+		time.AfterFunc(time.Duration(n+1)*helloInterval, func() {
+			if now := x.Poison.Get(s.Fingerprint); len(now.Losses) > 0 || now.Rejected() {
+				x.announceSuspicion(now)
+			}
+		})
+	}
 }
 
-// scheduleFlushLocked schedules a flush if none is scheduled yet. Callers add to the
-// pending runs or losses after it.
+func (x *Exchange) announceSuspicion(s rwpoison.Suspicion) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.scheduleFlushLocked()
+	x.pendingSuspicions = append(x.pendingSuspicions, s)
+}
+
+// scheduleFlushLocked schedules a flush if none is scheduled yet. Callers add to what is
+// pending after it.
 func (x *Exchange) scheduleFlushLocked() {
-	if len(x.pendingRuns)+len(x.pendingLost) == 0 {
+	if len(x.pendingRuns)+len(x.pendingLost)+len(x.pendingSuspicions) == 0 {
 		time.AfterFunc(batchDelay, x.flush)
 	}
 }
 
-// flush sends the pending runs and losses.
+// flush sends what is pending. Runs and losses go into one notice, which must fit into
+// maxNoticeBytes.
 func (x *Exchange) flush() {
 	x.mu.Lock()
-	runs, lost := x.pendingRuns, x.pendingLost
-	x.pendingRuns, x.pendingLost = nil, nil
+	runs, lost, suspicions := x.pendingRuns, x.pendingLost, x.pendingSuspicions
+	x.pendingRuns, x.pendingLost, x.pendingSuspicions = nil, nil, nil
 	x.mu.Unlock()
 	for len(runs) > 0 || len(lost) > 0 {
 		r, l := min(maxRunsPerNotice, len(runs)), min(maxLostPerNotice, len(lost))
 		if r > 0 && l > maxLostPerNotice/4 {
-			r = min(r, maxRunsPerNotice/2) // both together must fit into maxNoticeBytes
+			r = min(r, maxRunsPerNotice/2)
 		}
 		x.broadcast(x.withSender(Notice{Runs: runs[:r], LostServers: lost[:l]}))
 		runs, lost = runs[r:], lost[l:]
 	}
+	for chunk := range slices.Chunk(suspicions, maxSuspicionsPerNotice) {
+		x.broadcast(x.withSender(Notice{Suspicions: chunk}))
+	}
 }
 
 func (x *Exchange) withSender(n Notice) Notice {
