rwservice: bound the servers that may be lost under one call

What callers saw: a call of a plain service that crashes each server that runs it was sent on with each repeat; with 12 servers, 12 posts crashed 12. Cause: of the paths that retry, this one kept no account of the servers lost under a call at all; an idempotency key bounds only the repeats that bear it. Change: the same registry as for generations; the call is recognised by organisation, method, path, query and body. A rejected call is answered at once, 422 with Retry-After, before it writes a record. Evidence: TestLossesBounded fails for GET and POST with the accounting taken out.

--- a/internal/rwserve/exchange.go
+++ b/internal/rwserve/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	stderrors "errors"
 	"math/rand/v2"
@@ -120,6 +121,14 @@
 	wg.Wait()
 }
 
+// sendServiceSuspicion is sendSuspicion for a call of a service. Any instance may run its
+// repeats, so the instances are chosen by its fingerprint.
+func (i *Instance) sendServiceSuspicion(s rwpoison.Suspicion) {
+	var id rwcursor.GenerationID
+	binary.BigEndian.PutUint64(id[:], uint64(s.Fingerprint))
+	i.sendSuspicion(id, s)
+}
+
 func suspicionToWire(s rwpoison.Suspicion) *rwwire.Suspicion {
 	return &rwwire.Suspicion{
 		Fingerprint: uint64(s.Fingerprint), Servers: s.Servers, Losses: s.Losses, Cleared: s.Cleared, Completed: s.Completed, Quarantined: s.Quarantined,
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -145,6 +145,9 @@
 			Budget: i.budget,
 			Dial:   i.Network.Dial,
 			Log:    i.Log.WithName("service"),
+
+			Suspicions:      i.suspicions,
+			NotifySuspicion: i.sendServiceSuspicion,
 		},
 		Counters: i.counters,
 		Log:      i.Log.WithName("gateway"),
--- a/internal/rwservice/proxy.go
+++ b/internal/rwservice/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwonce"
+	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwslot"
 	"ragwortwall/internal/rwtree"
@@ -57,6 +59,9 @@
 	Budget *rwretry.Budget
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // connects to a backend server
 	Log    logr.Logger
+
+	Suspicions      *rwpoison.Registry
+	NotifySuspicion func(rwpoison.Suspicion) // publishes the losses under a request; called in a goroutine of its own
 }
 
 // call is a caller's call of a service.
@@ -67,6 +72,8 @@
 	route     rwtree.NamedRoute
 	caller    rwtree.Caller
 	attempted map[string]bool // by server name
+
+	fingerprint rwpoison.Fingerprint
 }
 
 // answer is a service's response, read in full.
@@ -86,6 +93,11 @@
 		return
 	}
 	c := &call{proxy: p, request: r, body: body, route: route, caller: caller, attempted: map[string]bool{}}
+	c.fingerprint = c.computeFingerprint()
+	if refusal := p.Suspicions.QuarantineError(c.fingerprint); refusal != nil {
+		rwerror.Write(w, refusal)
+		return
+	}
 	var result rwattempt.Result[answer]
 	if route.Idempotent(r.Method) {
 		p.Budget.Deposit(route.Key(), route.RetryBudget())
@@ -226,6 +238,31 @@
 	return h.Sum64()
 }
 
+// computeFingerprint returns the identity of a call across repeats. Their idempotency
+// keys may differ.
+func (c *call) computeFingerprint() rwpoison.Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(c.caller.Team + "\x00" + c.caller.Name + "\x00")
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, c.requestDigest()))
+	return rwpoison.Fingerprint(h.Sum64())
+}
+
+// recordLoss records that a server was lost while it ran the call, whatever the cause.
+func (c *call) recordLoss(server string, cause error) {
+	load, _ := c.proxy.Slots.Load(server)
+	s := c.proxy.Suspicions.RecordLoss(c.fingerprint, server+"/"+load.Incarnation)
+	c.proxy.Log.Info("server lost while running a request", "route", c.route.Key(), "organisation", c.caller.Name, "fingerprint", c.fingerprint.String(),
+		"server", server, "cause", cause.Error(), "losses", len(s.Losses), "quarantined", s.Rejected())
+	go c.proxy.NotifySuspicion(s)
+}
+
+// recordSurvival records that a server returned a whole answer to the call.
+func (c *call) recordSurvival() {
+	if s, ok := c.proxy.Suspicions.Complete(c.fingerprint); ok {
+		go c.proxy.NotifySuspicion(s)
+	}
+}
+
 // heldSlot is an acquired slot of a backend server.
 type heldSlot struct {
 	server  rwtree.NamedServer
@@ -289,6 +326,12 @@
 // A call that must not run twice is not cancelled if its caller disconnects.
 func (c *call) attempt(slot heldSlot) rwattempt.Result[answer] {
 	defer slot.release()
+	if refusal := c.proxy.Suspicions.QuarantineError(c.fingerprint); refusal != nil {
+		if c.route.Idempotent(c.request.Method) {
+			refusal = refusal.WithRan(rwerror.RanUnknown)
+		}
+		return refused(refusal)
+	}
 	ctx := c.request.Context()
 	if !c.route.Idempotent(c.request.Method) {
 		ctx = context.WithoutCancel(ctx)
@@ -307,10 +350,14 @@
 	defer stop()
 	a, err := c.exchange(conn, slot.server.Address, timeout)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.recordLoss(slot.server.Name, err)
+		}
 		return rwattempt.Result[answer]{Outcome: rwattempt.OutcomeUnknown, Err: rwerror.New(rwerror.KindOutcomeUnknown,
 			"repeat the call with the same key for the outcome, or ask the service for its status; do not use another key",
 			"the connection to backend server %s was lost after the call was sent", slot.server.Name).WithRan(rwerror.RanUnknown).WithRetryAfter(serverRetryAfter).WithCause(err)}
 	}
+	c.recordSurvival()
 	return rwattempt.Result[answer]{Answer: a, Failed: a.status >= http.StatusInternalServerError}
 }
 
--- a/internal/rwservice/proxy_test.go
+++ b/internal/rwservice/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,12 +14,14 @@
 
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwonce"
+	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwservice"
 	"ragwortwall/internal/rwslot"
 	"ragwortwall/internal/rwtree"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -62,6 +65,13 @@
 // serve sends a call through a proxy to a route with one server per handler. A nil
 // handler stands for a server that refuses connections.
 func serve(t *testing.T, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
+	t.Helper()
+	return serveTimes(t, 1, method, handlers...)
+}
+
+// serveTimes is serve for a call that is repeated under new idempotency keys. It returns
+// the last answer.
+func serveTimes(t *testing.T, times int, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
 	t.Helper()
 	s, l := &service{}, &ledger{}
 	team := rwtree.Team{Servers: map[string]rwtree.Server{}, Routes: map[string]rwtree.Route{}}
@@ -76,12 +86,20 @@
 			require.NoError(t, listener.Close())
 			continue
 		}
-		server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server := &http.Server{ReadHeaderTimeout: time.Minute}
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer func() {
+				if v := recover(); v == errCrash {
+					_ = server.Close()
+				} else if v != nil {
+					panic(v)
+				}
+			}()
 			s.mu.Lock()
 			s.calls, s.headers = append(s.calls, name), r.Header
 			s.mu.Unlock()
 			handler(w, r)
-		})}
+		})
 		go func() { _ = server.Serve(listener) }()
 		t.Cleanup(func() { _ = server.Close() })
 	}
@@ -93,19 +111,23 @@
 	require.NoError(t, err)
 	proxy := &rwservice.Proxy{
 		Tree: func() rwtree.Tree { return tree }, Slots: &slots{}, Ledger: l, Budget: &rwretry.Budget{}, Log: logr.Discard(),
+		Suspicions: &rwpoison.Registry{}, NotifySuspicion: func(rwpoison.Suspicion) {},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", address)
 		},
 	}
-	request := httptest.NewRequest(method, "/orders/new?x=1", strings.NewReader("order"))
-	request.Header.Set("Idempotency-Key", "k1")
-	request.Header.Set("Authorization", "Bearer secret")
-	request.Header.Set("Connection", "close")
-	w := httptest.NewRecorder()
 	named, ok := tree.Route("team/orders")
 	require.True(t, ok)
-	proxy.ServeService(w, request, rwtree.Caller{Team: "team", Name: "coop"}, named)
+	var w *httptest.ResponseRecorder
+	for n := range times {
+		request := httptest.NewRequest(method, "/orders/new?x=1", strings.NewReader("order"))
+		request.Header.Set("Idempotency-Key", fmt.Sprint("k", n))
+		request.Header.Set("Authorization", "Bearer secret")
+		request.Header.Set("Connection", "close")
+		w = httptest.NewRecorder()
+		proxy.ServeService(w, request, rwtree.Caller{Team: "team", Name: "coop"}, named)
+	}
 	return w, s, l
 }
 
@@ -119,6 +141,11 @@
 	_, _ = io.WriteString(w, "sorry")
 }
 
+// errCrash is the panic of a handler whose server ends with it.
+var errCrash = errors.New("crash")
+
+func crash(http.ResponseWriter, *http.Request) { panic(errCrash) }
+
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 // TestOnce checks calls that must run at most once: a call that may have been sent is
@@ -174,3 +201,26 @@
 		require.Len(t, s.calls, 2)
 	})
 }
+
+// TestLossesBounded guards against calls that crash each server that runs them and are
+// sent on without end.
+func TestLossesBounded(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var crashing []http.HandlerFunc
+			for range 12 {
+				crashing = append(crashing, crash)
+			}
+			w, s, _ := serveTimes(t, 12, method, crashing...)
+			require.Equal(t, http.StatusUnprocessableEntity, w.Code)
+			require.Contains(t, w.Body.String(), "quarantined")
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+			require.Len(t, s.calls, rwpoison.MaxLosses)
+		})
+	}
+	t.Run("servers that survive", func(t *testing.T) {
+		w, s, _ := serveTimes(t, 12, http.MethodGet, abortConnection, echo)
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Len(t, s.calls, 24)
+	})
+}
