Stand-ins and tools no longer end because a connection broke

Cause: the context of the stand-ins and tools ended on SIGPIPE, for the case that the reader of their output is gone. A program that is notified of SIGPIPE gets it for a write to a broken connection too. So killing an instance ended every engine that was sending it a token: in one play with its logs kept e5 and e6 ended within 10 ms of the kill of i1, without a word, and the quarantine was right. `ragwortwall serve` and rwentry ignore the signal and were not affected. Change: on SIGPIPE the output itself is asked whether its reader is gone.

--- a/internal/rwcommand/run.go
+++ b/internal/rwcommand/run.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/sys/unix"
 )
 
 // The exit codes of all programs.
@@ -56,11 +57,39 @@
 	return exitFailure, false
 }
 
-// signalContext returns a context that ends on SIGTERM, SIGHUP, an interrupt, or
-// SIGPIPE, which the process gets when the reader of its output is gone. In each case
-// the program must end the processes that it started.
+// signalContext returns a context that ends on SIGTERM, SIGHUP, an interrupt, or when the
+// reader of the process's output is gone. In each case the program must end the processes
+// that it started.
 func signalContext() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE, os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	ctx, cancel := context.WithCancel(ctx)
+	// The signal also follows a write to a broken connection.
+	brokenPipe := make(chan os.Signal, 1)
+	signal.Notify(brokenPipe, syscall.SIGPIPE)
+	go func() {
+		defer signal.Stop(brokenPipe)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-brokenPipe:
+				if readerGone(os.Stdout) || readerGone(os.Stderr) {
+					cancel()
+				}
+			}
+		}
+	}()
+	return ctx, func() {
+		cancel()
+		stop()
+	}
+}
+
+// readerGone reports whether a pipe or terminal has lost its reader.
+func readerGone(f *os.File) bool {
+	fds := []unix.PollFd{{Fd: int32(f.Fd())}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
 }
 
 // newLog returns a logger that writes JSON lines to standard error.
