rwversion: a version is trusted by results, and attempts that are late count

Cause: an attempt counted only when it had a result. Requests to a version that is eight times slower have none for seconds, 3% of 9 requests a second are few, and no evidence let the share rise as good evidence does. Change: an attempt that is later than the old version's usual latencies counts as one that ends now, on both versions. Until eight results speak for the new version its share is chosen to make 12 attempts in a third of the time, 40 at most; only then it rises. At the deadline a version with too few results is taken back; with no requests at all it completes.

--- a/internal/rwevidence/evidence.go
+++ b/internal/rwevidence/evidence.go
@@ -110,6 +110,25 @@
 	return e
 }
 
+// Slowness returns the log-likelihood ratio of the latencies: a bad version against one
+// that is as fast as the old version. It is zero if there are too few.
+func Slowness(before, after Evidence) float64 {
+	return max(slownessLLR(before.TokenTime, after.TokenTime), slownessLLR(before.First, after.First))
+}
+
+// Overdue returns the time from which an attempt without a result is late, judged by the
+// latencies of a version. It returns false if there are too few.
+func (e Evidence) Overdue() (time.Duration, bool) {
+	var all LogDurations
+	for _, bin := range e.First {
+		all = all.plus(bin)
+	}
+	if all.Count < minOldSamples {
+		return 0, false
+	}
+	return time.Duration(math.Exp(all.mean()+math.Sqrt(all.variance())) * badSlowdownFactor * float64(time.Second)), true
+}
+
 // Judge compares a new version with the old one. It returns the reason why the new
 // one is bad, or an empty string if it was not found bad.
 func Judge(before, after Evidence) string {
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -91,6 +91,7 @@
 	routeTimeoutApplies bool            // the deadline comes from the route's timeout, not from the caller
 	attempts            int             // servers that the request was sent to
 	tried               map[string]bool // ids of the servers that were chosen
+	versionAttempt      *rwversion.Attempt
 }
 
 // ServeHTTP handles one request.
@@ -266,11 +267,17 @@
 	return allowed
 }
 
+// beginVersionAttempt records that the request is sent to a server, as evidence on its
+// version. The caller must call Cancel of versionAttempt when the attempt has ended.
+func (c *call) beginVersionAttempt(server rwbackend.View) {
+	load := float64(server.Plain+server.OtherRequests) / float64(max(1, server.Slots))
+	c.versionAttempt = c.f.Versions.Begin(c.service.Name, server.Version, load)
+}
+
 // recordVersionOutcome adds the outcome of an attempt to the evidence on the server's
 // version. first is the time until the first event or the whole response.
 func (c *call) recordVersionOutcome(server rwbackend.View, failed bool, first time.Duration) {
-	outcome := rwevidence.Attempt{Failed: failed, First: first, Load: float64(server.Plain+server.OtherRequests) / float64(max(1, server.Slots))}
-	if c.f.Versions.RecordAttempt(c.service.Name, server.Version, outcome) {
+	if c.versionAttempt.End(rwevidence.Attempt{Failed: failed, First: first}) {
 		c.f.Log.Info("new version found bad", "service", c.service.Name, "version", server.Version, "request", c.info.ID)
 	}
 }
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -136,6 +136,8 @@
 	defer release()
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
+	c.beginVersionAttempt(server)
+	defer c.versionAttempt.Cancel()
 	sentAt := time.Now()
 	response, err := c.exchange(conn, server.ID)
 	if err != nil {
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -44,6 +44,8 @@
 	s.attempts++
 	s.f.Counters.countSent(rwroute.KindStream)
 	s.recordPlacement(target)
+	s.beginVersionAttempt(target.server)
+	defer s.versionAttempt.Cancel()
 	info := s.upstreamInfo(target.server.ID)
 	info.Cursor, info.Resumed = s.sequence.Last()
 	info.KVSource, info.KVRun = target.kvSource, target.kvRun
--- a/internal/rwversion/moves.go
+++ b/internal/rwversion/moves.go
@@ -31,26 +31,40 @@
 }
 
 const (
-	// canaryShare is the initial share of requests that go to the new version.
-	canaryShare = 0.03
-	// canaryEnd and rampEnd are fractions of the move's duration: up to the
-	// first the share stays at canaryShare, at the second it reaches 1.
-	canaryEnd = 0.35
-	rampEnd   = 0.75
+	// minTrialShare and maxTrialShare limit the share of requests that go to the new
+	// version until it is trusted.
+	minTrialShare = 0.03
+	maxTrialShare = 0.3
+	// trialAttempts is how many attempts the share is chosen for, until trialEnd.
+	trialAttempts = 12
+	// maxTrialAttempts is how many attempts of all instances may go to a version that is
+	// not trusted.
+	maxTrialAttempts = 40
+	// trustedResults is how many results make a version trusted, if they don't speak
+	// against it.
+	trustedResults = 8
+	// trialEnd, thinEvidence and rampEnd are fractions of the move's duration: the trial
+	// is planned to end at the first; from the second on, fewer results are enough if none
+	// is overdue; at the third the share reaches 1.
+	trialEnd     = 0.35
+	thinEvidence = 0.8
+	rampEnd      = 0.75
 	// minCompletion is the fraction of the move's duration from which it may
 	// complete. The old servers stop on completion, so until then they can finish
 	// the requests that they still run.
 	minCompletion = 0.9
-	// maxRampLLR is the highest log-likelihood ratio of the failures at which
-	// the share may increase. Above it a bad version is more likely than a good one.
+	// maxRampLLR is the highest log-likelihood ratio of the failures and latencies at
+	// which the share may increase. Above it a bad version is more likely than a good one.
 	maxRampLLR = 0
 )
 
 // Total is the evidence collected on both versions of a move.
 type Total struct {
-	Old rwevidence.Evidence `json:"old"`
-	New rwevidence.Evidence `json:"new"`
-	Bad string              `json:"bad,omitempty"` // why the new version was found bad; empty if it was not
+	Old     rwevidence.Evidence `json:"old"`
+	New     rwevidence.Evidence `json:"new"`
+	Begun   float64             `json:"begun"`         // attempts on the new version, with and without a result
+	Overdue float64             `json:"overdue"`       // of the results of the new version, attempts that are late and still without one
+	Bad     string              `json:"bad,omitempty"` // why the new version was found bad; empty if it was not
 }
 
 // Moves holds the version moves of all services. It is safe for concurrent use; the zero
@@ -63,9 +77,11 @@
 // progress is the progress of one move as this instance sees it.
 type progress struct {
 	Move
-	firstSeen time.Time        // when this instance first saw the move
-	share     float64          // of requests that go to the new version, from 0 to 1
-	own       Total            // evidence of this instance
+	firstSeen time.Time // when this instance first saw the move
+	share     float64   // of requests that go to the new version, from 0 to 1
+	trusted   bool      // enough results speak for the new version
+	own       Total     // evidence of this instance, without pending attempts
+	pending   map[*Attempt]bool
 	peers     map[string]Total // evidence of the other instances, by name
 	badReason string           // why the new version was found bad; empty if it was not
 }
@@ -80,7 +96,7 @@
 	}
 	p, known := m.moves[move.Service]
 	if !known || p.Target != move.Target || p.Name != move.Name {
-		p = &progress{firstSeen: time.Now(), share: canaryShare, peers: map[string]Total{}}
+		p = &progress{firstSeen: time.Now(), share: minTrialShare, pending: map[*Attempt]bool{}, peers: map[string]Total{}}
 		m.moves[move.Service] = p
 	}
 	if known && p.State > move.State && p.Target == move.Target {
@@ -136,44 +152,158 @@
 	return float64(xxhash.Sum64String("version/"+request)>>11) / (1 << 53)
 }
 
-// raiseShare raises the share according to the elapsed time, unless the failures
-// so far make a bad version more likely than a good one.
+// raiseShare sets the share. Until the new version is trusted, the share is that of the
+// trial. Then it rises with the elapsed time, unless the results so far make a bad
+// version more likely than a good one.
 func (p *progress) raiseShare() {
-	elapsed := float64(time.Since(p.firstSeen)) / float64(max(1, p.Duration))
-	share := canaryShare
-	if elapsed > canaryEnd {
-		ramped := min(1, (elapsed-canaryEnd)/(rampEnd-canaryEnd))
-		share = max(canaryShare, ramped*ramped)
-	}
+	elapsed := p.elapsed()
 	total := p.sumEvidence()
-	if share > p.share && rwevidence.FailureLLR(total.Old, total.New) <= maxRampLLR {
+	p.trusted = p.trusted || total.trusted(elapsed)
+	if !p.trusted {
+		p.share = p.trialShare(total)
+		return
+	}
+	share := minTrialShare
+	if elapsed > trialEnd {
+		ramped := min(1, (elapsed-trialEnd)/(rampEnd-trialEnd))
+		share = max(share, ramped*ramped)
+	}
+	if share > p.share && total.speaksFor() {
 		p.share = share
 	}
 }
 
+// elapsed returns the elapsed fraction of the move's duration.
+func (p *progress) elapsed() float64 {
+	return float64(time.Since(p.firstSeen)) / float64(max(1, p.Duration))
+}
+
+// trialShare returns the share at which the requests so far would have made trialAttempts
+// until trialEnd.
+func (p *progress) trialShare(t Total) float64 {
+	if t.Begun >= maxTrialAttempts {
+		return 0
+	}
+	expected := (t.Old.Attempts + t.Begun) / max(p.elapsed(), trialEnd/8) * trialEnd
+	return min(maxTrialShare, max(minTrialShare, trialAttempts/max(1, expected)))
+}
+
+// speaksFor reports whether a good version is at least as likely as a bad one.
+func (t Total) speaksFor() bool {
+	return rwevidence.FailureLLR(t.Old, t.New) <= maxRampLLR && rwevidence.Slowness(t.Old, t.New) <= maxRampLLR
+}
+
+// trusted reports whether the evidence is enough to raise the share. Late in a move, as
+// after few requests, it is enough that nothing is late.
+func (t Total) trusted(elapsed float64) bool {
+	switch {
+	case !t.speaksFor():
+		return false
+	case t.New.Attempts-t.Overdue >= trustedResults:
+		return true
+	case t.Begun == 0:
+		return elapsed >= trialEnd
+	}
+	return elapsed >= thinEvidence && t.Overdue == 0 && t.New.Attempts > 0
+}
+
 // sumEvidence returns the evidence summed over all instances.
 func (p *progress) sumEvidence() Total {
-	t := p.own
+	t := p.withPending()
 	for _, peer := range p.peers {
-		t.Old, t.New = t.Old.Plus(peer.Old), t.New.Plus(peer.New)
+		t.Old, t.New, t.Begun, t.Overdue = t.Old.Plus(peer.Old), t.New.Plus(peer.New), t.Begun+peer.Begun, t.Overdue+peer.Overdue
+	}
+	return t
+}
+
+// withPending returns this instance's evidence with the attempts that have no result yet.
+// One that is late counts as if it had ended now; otherwise requests that are slow enough
+// would never count.
+func (p *progress) withPending() Total {
+	t := p.own
+	late, ok := t.Old.Overdue()
+	if !ok {
+		for _, peer := range p.peers {
+			if late, ok = peer.Old.Overdue(); ok {
+				break
+			}
+		}
+	}
+	for a := range p.pending {
+		since := time.Since(a.startedAt)
+		switch {
+		case !ok || since < late:
+		case a.version == p.Target:
+			t.New = t.New.With(rwevidence.Attempt{First: since, Load: a.load})
+			t.Overdue++
+		default:
+			t.Old = t.Old.With(rwevidence.Attempt{First: since, Load: a.load})
+		}
 	}
 	return t
 }
 
-// RecordAttempt records the result of a request to a server of the given version. It
-// reports whether the new version is found bad by this result. It returns false if the
-// move has ended or the version was found bad before.
-func (m *Moves) RecordAttempt(service, version string, a rwevidence.Attempt) bool {
+// Attempt is an attempt at a request during a move. A nil Attempt is valid and does
+// nothing.
+type Attempt struct {
+	moves     *Moves
+	progress  *progress
+	version   string
+	load      float64
+	startedAt time.Time
+}
+
+// Begin records that a request is sent to a server of the given version, with the load of
+// the server from 0 to 1. The caller must call End or Cancel. Begin returns nil if the
+// service has no move.
+func (m *Moves) Begin(service, version string, load float64) *Attempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.moves[service]
-	if !ok || p.State >= StateCompleted || p.badReason != "" {
-		return false
+	if !ok || p.State >= StateCompleted {
+		return nil
 	}
+	a := &Attempt{moves: m, progress: p, version: version, load: load, startedAt: time.Now()}
+	p.pending[a] = true
 	if version == p.Target {
-		p.own.New = p.own.New.With(a)
+		p.own.Begun++
+	}
+	return a
+}
+
+// Cancel records that the attempt has no result, because the caller left.
+func (a *Attempt) Cancel() {
+	if a == nil {
+		return
+	}
+	a.moves.mu.Lock()
+	defer a.moves.mu.Unlock()
+	delete(a.progress.pending, a)
+}
+
+// End records the result of the attempt. After a success, such as the first event of a
+// stream, a failure counts as another result. End reports whether the new version is found
+// bad by this result. It returns false if the move has ended or the version was found bad
+// before.
+func (a *Attempt) End(result rwevidence.Attempt) bool {
+	if a == nil {
+		return false
+	}
+	a.moves.mu.Lock()
+	defer a.moves.mu.Unlock()
+	p := a.progress
+	if !p.pending[a] && !result.Failed {
+		return false
+	}
+	delete(p.pending, a)
+	if p.State >= StateCompleted || p.badReason != "" {
+		return false
+	}
+	result.Load = a.load
+	if a.version == p.Target {
+		p.own.New = p.own.New.With(result)
 	} else {
-		p.own.Old = p.own.Old.With(a)
+		p.own.Old = p.own.Old.With(result)
 	}
 	return p.evaluate()
 }
@@ -213,7 +343,7 @@
 	own := map[string]Total{}
 	for service, p := range m.moves {
 		if p.State < StateCompleted {
-			own[service] = p.own
+			own[service] = p.withPending()
 		}
 	}
 	return own
@@ -236,10 +366,12 @@
 			continue
 		}
 		p.raiseShare()
-		elapsed := float64(time.Since(p.firstSeen)) / float64(max(1, p.Duration))
+		elapsed := p.elapsed()
 		switch {
-		case p.badReason != "":
+		case p.badReason != "" || p.evaluate():
 			steps = append(steps, Step{Move: p.Move, Next: StateTakenBack, Reason: p.badReason})
+		case elapsed >= 1 && !p.trusted:
+			steps = append(steps, Step{Move: p.Move, Next: StateTakenBack, Reason: "at the deadline too few results speak for it"})
 		case elapsed >= 1 && p.share < 1:
 			steps = append(steps, Step{Move: p.Move, Next: StateTakenBack, Reason: "at the deadline its failures still speak against it"})
 		case elapsed >= minCompletion && p.share >= 1:
--- a/internal/rwversion/moves_test.go
+++ b/internal/rwversion/moves_test.go
@@ -67,7 +67,7 @@
 				fiftiethFailure = time.Now()
 			}
 		}
-		moves[instance].RecordAttempt("orders", version, rwevidence.Attempt{Failed: failed, First: 60 * time.Millisecond})
+		moves[instance].Begin("orders", version, 0).End(rwevidence.Attempt{Failed: failed, First: 60 * time.Millisecond})
 		if time.Since(syncedAt) > syncInterval {
 			syncedAt = time.Now()
 			for i := range moves {
@@ -145,3 +145,102 @@
 		require.False(t, m.VersionFilter("orders", "1")("v1"))
 	})
 }
+
+// streamOutcome is the result of a simulated move of a service with few, long requests.
+type streamOutcome struct {
+	state       rwversion.State // the final state; StateNew if the move did not end
+	endedAt     time.Duration   // since the start
+	requests    int             // sent within the move's duration
+	newRequests int             // of these, to the new version
+}
+
+// simulateStreams runs a move of a service that gets perSecond requests. A request to a
+// version takes first(version, n) until its first event, and counts as failed if that is
+// longer than giveUp.
+func simulateStreams(perSecond float64, first func(version string, n int) time.Duration) streamOutcome {
+	const (
+		duration = 15 * time.Second
+		giveUp   = 4 * time.Second
+	)
+	move := newMove(rwversion.StateNew)
+	move.Duration = duration
+	moves := make([]rwversion.Moves, instances)
+	for i := range moves {
+		moves[i].Put(move)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	var out streamOutcome
+	startedAt, nextAt, syncedAt := time.Now(), time.Now(), time.Now()
+	for time.Since(startedAt) < duration {
+		time.Sleep(10 * time.Millisecond)
+		if perSecond > 0 && !time.Now().Before(nextAt) && out.state == rwversion.StateNew {
+			nextAt = nextAt.Add(time.Duration(float64(time.Second) / perSecond))
+			out.requests++
+			m := &moves[random.IntN(instances)]
+			version := "v1"
+			if m.VersionFilter("orders", strconv.Itoa(out.requests))("v2") {
+				version = "v2"
+				out.newRequests++
+			}
+			attempt := m.Begin("orders", version, 0)
+			took := first(version, out.requests)
+			time.AfterFunc(min(took, giveUp), func() {
+				attempt.End(rwevidence.Attempt{Failed: took > giveUp, First: took})
+			})
+		}
+		if time.Since(syncedAt) > syncInterval {
+			syncedAt = time.Now()
+			for i := range moves {
+				for j := range moves {
+					if i != j {
+						moves[i].SetPeerEvidence(strconv.Itoa(j), "orders", moves[j].OwnEvidence()["orders"])
+					}
+				}
+			}
+		}
+		for _, s := range moves[0].Steps() {
+			if s.Next >= rwversion.StateCompleted && out.state == rwversion.StateNew {
+				out.state, out.endedAt = s.Next, time.Since(startedAt)
+			}
+		}
+	}
+	time.Sleep(giveUp)
+	return out
+}
+
+// TestSlowVersionTakenBack guards against moves that complete because the requests to the
+// new version are so slow that none has ended yet.
+func TestSlowVersionTakenBack(t *testing.T) {
+	const usual = 1200 * time.Millisecond
+	spread := func(n int) time.Duration { return time.Duration(n%7-3) * 100 * time.Millisecond }
+	for name, c := range map[string]struct {
+		perSecond float64
+		slowdown  time.Duration // factor
+		state     rwversion.State
+	}{
+		"8 times slower":                    {9, 8, rwversion.StateTakenBack},
+		"8 times slower, few requests":      {2, 8, rwversion.StateTakenBack},
+		"3 times slower":                    {9, 3, rwversion.StateTakenBack},
+		"as fast":                           {9, 1, rwversion.StateCompleted},
+		"as fast, few requests":             {2, 1, rwversion.StateCompleted},
+		"as fast, a request in two seconds": {0.5, 1, rwversion.StateCompleted},
+		"no requests":                       {0, 1, rwversion.StateCompleted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := simulateStreams(c.perSecond, func(version string, n int) time.Duration {
+					took := usual + spread(n)
+					if version == "v2" {
+						took *= c.slowdown
+					}
+					return took
+				})
+				require.Equal(t, c.state, out.state, "ended after %s, %d requests, %d to the new version", out.endedAt, out.requests, out.newRequests)
+				require.LessOrEqual(t, out.endedAt, 15*time.Second)
+				if c.state == rwversion.StateTakenBack {
+					require.LessOrEqual(t, out.newRequests, out.requests/10+50)
+				}
+			})
+		})
+	}
+}
