Responses that never end are bounded in memory and time

What callers saw: nothing for up to 15 s, an answer cut at 8 MiB that looked whole, or, from an endless head, an instance that ran out of memory.

--- a/internal/rwengine/client.go
+++ b/internal/rwengine/client.go
@@ -19,6 +19,7 @@
 
 const (
 	maxErrorBytes      = 4 << 10 // of an error response, quoted in the error
+	maxReplyBytes      = 8 << 20 // of a load report or a list of cache events
 	initialEventBuffer = 4 << 10
 	maxEventBytes      = 4 << 20
 )
@@ -140,10 +141,10 @@
 		return statusError(response)
 	}
 	if result == nil {
-		_, err = io.Copy(io.Discard, response.Body)
+		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
 		return errors.Trace(err)
 	}
-	return errors.Trace(json.NewDecoder(response.Body).Decode(result))
+	return errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(result))
 }
 
 func statusError(response *http.Response) error {
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
@@ -72,6 +73,8 @@
 	ShuttingDown     func() bool              // reports whether this instance is shutting down
 	Log              logr.Logger
 	Counters         *Counters
+
+	bufferedBytes atomic.Int64 // of the responses that are held in memory
 }
 
 // call is the state of one caller's request.
@@ -92,6 +95,7 @@
 	attempts            int             // servers that the request was sent to
 	tried               map[string]bool // ids of the servers that were chosen
 	versionAttempt      *rwversion.Attempt
+	bufferedBytes       int64 // that this call has added to those of the Forwarder
 }
 
 // ServeHTTP handles one request.
@@ -102,6 +106,7 @@
 	if len(r.TransferEncoding) > 0 || f.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { f.bufferedBytes.Add(-c.bufferedBytes) }()
 	err := c.resolveRoute()
 	if err == nil {
 		err = c.readBody()
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -19,6 +19,34 @@
 // largest response of a plain service.
 const maxResponseBytes = 8 << 20
 
+// maxBufferedBytes limits the responses that an instance holds in memory together. It is
+// a small part of the memory of the smallest machines.
+const maxBufferedBytes = 16 << 20
+
+var errBuffersFull = rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After", "this instance holds too many responses in memory")
+
+// readWhole reads the whole body of a response into memory. The memory is released when
+// the request ends.
+func (c *call) readWhole(r io.Reader) ([]byte, error) {
+	return rwlink.ReadAll(bufferedReader{r, c}, maxResponseBytes)
+}
+
+// bufferedReader charges what it reads to the memory for responses.
+type bufferedReader struct {
+	io.Reader
+	call *call
+}
+
+// Read reads and fails if too much memory is in use.
+func (b bufferedReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.call.bufferedBytes += int64(n)
+	if b.call.f.bufferedBytes.Add(int64(n)) > maxBufferedBytes {
+		return n, errBuffersFull
+	}
+	return n, err
+}
+
 // serverResponse is the whole response of a backend server.
 type serverResponse struct {
 	server string // id
@@ -193,7 +221,7 @@
 		return serverResponse{}, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := c.readWhole(response.Body)
 	if err != nil {
 		return serverResponse{}, err
 	}
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -101,6 +101,7 @@
 	s.writeHeader(response)
 	events := rwrelay.NewEvents(response.Body)
 	for {
+		stalls.Wait()
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if _, started := s.sequence.Last(); started && !stalls.Begun() && s.emptyEndAttempt == 0 {
@@ -139,6 +140,8 @@
 // It ends the attempt if the server stalls or is unreachable.
 func (s *stream) silencePolicy(stalls *rwrelay.StallDetector, address string) rwlink.SilenceFunc {
 	return func(silent time.Duration) (time.Duration, error) {
+		// A server may send bytes that are no events.
+		silent = max(silent, stalls.Waiting())
 		step, wait := stalls.Judge(silent)
 		if step == rwrelay.StepHung {
 			return 0, errHung
@@ -188,7 +191,7 @@
 // on to the caller unless another server may be tried, a response header was sent
 // already, or the response is not signed.
 func (s *stream) handleErrorResponse(response *http.Response, target attemptTarget, reply ResponseInfo) (bool, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := s.readWhole(response.Body)
 	if err != nil {
 		return false, s.recordInterruption(target, err)
 	}
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -31,6 +32,9 @@
 	maxIdle         time.Duration // how long it may be idle; not reusable if 0 or less
 	aborted         atomic.Bool   // Abort was called
 	requestComplete bool          // a request was written completely and answered
+	headLeft        int           // bytes that the head being read may still have
+	readingHead     bool
+	graceReads      int // reads in a row that the SilenceFunc wanted to end
 }
 
 // ErrAborted is returned by reads after the connection was closed by Abort.
@@ -40,8 +44,17 @@
 	readBufferSize = 4 << 10 // bytes; fits an event or the head of a response
 	// minReadTimeout prevents a busy loop if the caller's function returns 0.
 	minReadTimeout = 5 * time.Millisecond
+	// maxHeadBytes limits the head of a response. It is many times the size of usual
+	// ones, and limits the memory that a faulty server may take.
+	maxHeadBytes = 64 << 10
+	// maxGraceReads is how many reads may still return data after the SilenceFunc has
+	// ended the exchange: what had arrived while this process was not scheduled.
+	maxGraceReads = 16
 )
 
+// ErrHeadTooLong is returned if the head of a response is longer than 64 KiB.
+var ErrHeadTooLong = rwerror.New(rwerror.KindFailed, "check the backend server", "the head of the response is longer than 64 KiB")
+
 // Dial connects to a server at an address of the form host:port.
 func Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
@@ -78,6 +91,18 @@
 // Read reads from the server and calls the SilenceFunc while no data arrives. Time
 // in which Read was not called doesn't count as silence.
 func (c *Conn) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := c.read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+func (c *Conn) read(p []byte) (int, error) {
 	if c.onSilence == nil {
 		return c.conn.Read(p)
 	}
@@ -86,10 +111,15 @@
 	}
 	for {
 		wait, stopErr := c.onSilence(time.Since(c.silentSince))
-		if stopErr != nil {
-			// Read once more before giving up: data may have arrived while this
-			// process was not scheduled.
+		if stopErr == nil {
+			c.graceReads = 0
+		} else {
+			// Read on before giving up: data may have arrived while this process was
+			// not scheduled.
 			wait = minReadTimeout
+			if c.graceReads++; c.graceReads > maxGraceReads {
+				return 0, stopErr
+			}
 		}
 		n, err := c.readWithTimeout(p, wait)
 		if n > 0 {
@@ -176,13 +206,16 @@
 	}
 	c.silentSince = time.Now()
 	for range maxResponses {
+		c.readingHead, c.headLeft = true, maxHeadBytes
 		response, err := http.ReadResponse(c.reader, request)
+		c.readingHead = false
 		if err != nil {
 			return nil, OutcomeUnknown, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		response.Body = &body{ReadCloser: response.Body, conn: c}
 		if owns != nil && !owns(response.Header) {
 			if err := discardBody(response); err != nil {
 				return nil, OutcomeUnknown, err
@@ -203,6 +236,30 @@
 	return nil, OutcomeUnknown, errNoOwnResponse
 }
 
+// body is the body of a response. If it is closed before its end, it closes the
+// connection: otherwise Close would read the rest, which may never end.
+type body struct {
+	io.ReadCloser
+	conn  *Conn
+	ended bool
+}
+
+// Read reads from the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close closes the body, and the connection if the body has not been read to its end.
+func (b *body) Close() error {
+	if !b.ended {
+		b.conn.maxIdle = -1
+		b.conn.Close()
+	}
+	return b.ReadCloser.Close()
+}
+
 var errNoOwnResponse = rwerror.New(rwerror.KindFailed, "contact the operators", "the server sent only responses to other requests")
 
 const (
--- a/internal/rwlink/head.go
+++ b/internal/rwlink/head.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"ragwortwall/internal/rwerror"
 	"ragwortwall/pkg/rwset"
 )
 
@@ -80,12 +81,27 @@
 	return defaultIdleTimeout
 }
 
-// maxDiscardedBody limits how many bytes discardBody copies; Close reads the rest.
+// maxDiscardedBody limits how many bytes discardBody reads.
 const maxDiscardedBody = 64 << 10
 
-// discardBody reads and drops the body of a response.
+// discardBody reads and drops the body of a response. It fails if the body is too long.
 func discardBody(response *http.Response) error {
 	defer response.Body.Close()
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBody))
+	_, err := ReadAll(response.Body, maxDiscardedBody)
 	return err
 }
+
+// ErrBodyTooLong is returned if a body is longer than the limit.
+var ErrBodyTooLong = rwerror.New(rwerror.KindFailed, "check the backend server", "the body of the response is too long")
+
+// ReadAll reads a whole body. It returns ErrBodyTooLong if it has more than limit bytes.
+func ReadAll(r io.Reader, limit int) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > limit {
+		return nil, ErrBodyTooLong
+	}
+	return content, nil
+}
--- a/internal/rwnet/network.go
+++ b/internal/rwnet/network.go
@@ -22,6 +22,7 @@
 	keepAliveInterval   = 5 * time.Second
 	maxIdleConnsPerHost = 256
 	idleConnTimeout     = 30 * time.Second
+	maxHeaderBytes      = 64 << 10 // of a response
 )
 
 // TCP is the TCP network of the host.
@@ -85,8 +86,10 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return n.Dial(ctx, address)
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
 	}
 }
--- a/internal/rwrelay/event.go
+++ b/internal/rwrelay/event.go
@@ -18,20 +18,24 @@
 }
 
 // Events reads complete server-sent events from a stream. It skips extra blank lines
-// between events.
+// and comments between events.
 type Events struct {
-	reader *bufio.Reader
-	raw    []byte
+	reader  *bufio.Reader
+	raw     []byte
+	skipped int // bytes since the last event
 }
 
-// maxEventBytes limits the size of an event. It is many times the largest specified
-// event.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of an event, and of what is skipped between two. It is
+// many times the largest specified event, and small enough for each stream of an instance
+// to hold one.
+const maxEventBytes = 128 << 10
 
 // ErrTruncated is returned if a stream ends in the middle of an event.
 var ErrTruncated = errors.New("the stream ended in the middle of an event")
 
-var errEventTooLong = errors.New("an event is longer than 1 MiB")
+// ErrEventTooLong is returned if an event, or what stands between two, is longer than
+// 128 KiB.
+var ErrEventTooLong = errors.New("an event is longer than 128 KiB")
 
 // NewEvents returns a reader of the events in r.
 func NewEvents(r io.Reader) *Events {
@@ -39,46 +43,58 @@
 }
 
 // Next returns the next complete event. It returns io.EOF after the last one, ErrTruncated
-// if the stream ends in the middle of an event, and an error if an event exceeds 1 MiB.
+// if the stream ends in the middle of an event, and ErrEventTooLong.
 func (e *Events) Next() (Event, error) {
-	e.raw = e.raw[:0]
-	event := Event{}
+	e.skipped = 0
 	for {
-		start := len(e.raw)
-		line, err := e.reader.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			for errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes {
-				line, err = e.reader.ReadSlice('\n')
-				e.raw = append(e.raw, line...)
-			}
-			if err == nil {
-				break
-			}
-			fallthrough
-		case err != nil:
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
-				return event, ErrTruncated
-			}
+		event, fields, err := e.nextBlock()
+		if err != nil || fields {
 			return event, err
 		}
-		if len(e.raw) >= maxEventBytes {
-			return event, errEventTooLong
+		if e.skipped += max(1, len(e.raw)); e.skipped > maxEventBytes {
+			return Event{}, ErrEventTooLong
+		}
+	}
+}
+
+// nextBlock reads lines up to a blank one. fields reports whether there was one that is not
+// a comment.
+func (e *Events) nextBlock() (event Event, fields bool, err error) {
+	e.raw = e.raw[:0]
+	for {
+		start := len(e.raw)
+		if err := e.readLine(); err != nil {
+			return event, fields, err
 		}
-		line = bytes.TrimRight(e.raw[start:], "\r\n")
+		line := bytes.TrimRight(e.raw[start:], "\r\n")
 		if len(line) == 0 {
-			if start == 0 {
-				e.raw = e.raw[:0]
-				continue
-			}
 			event.Raw = e.raw
-			return event, nil
+			return event, fields, nil
 		}
+		fields = fields || line[0] != ':'
 		event.parseID(line)
 	}
 }
 
+// readLine appends a line to e.raw.
+func (e *Events) readLine() error {
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		switch {
+		case len(e.raw) > maxEventBytes:
+			return ErrEventTooLong
+		case err == nil:
+			return nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0:
+			return ErrTruncated
+		default:
+			return err
+		}
+	}
+}
+
 func (e *Event) parseID(line []byte) {
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
--- a/internal/rwrelay/stall.go
+++ b/internal/rwrelay/stall.go
@@ -41,6 +41,7 @@
 	started       bool          // the first event has arrived
 	meanGap       time.Duration // moving average; zero until the second event
 	lastEvent     time.Time     // time of the last event; the start of the attempt before the first
+	waitingSince  time.Time     // when the wait for the next event began
 }
 
 // NewStallDetector returns the StallDetector of an attempt that is sent now. A
@@ -49,9 +50,16 @@
 	if maxEventGap <= 0 {
 		maxEventGap = defaultMaxEventGap
 	}
-	return &StallDetector{ExpectedFirst: expectedFirst, MaxEventGap: maxEventGap, lastEvent: time.Now()}
+	return &StallDetector{ExpectedFirst: expectedFirst, MaxEventGap: maxEventGap, lastEvent: time.Now(), waitingSince: time.Now()}
 }
 
+// Wait records that the wait for the next event begins now. Until then the caller of the
+// stream may have kept this instance waiting.
+func (d *StallDetector) Wait() { d.waitingSince = time.Now() }
+
+// Waiting returns how long the wait for the next event has lasted.
+func (d *StallDetector) Waiting() time.Duration { return time.Since(d.waitingSince) }
+
 // RecordEvent records the arrival of an event.
 func (d *StallDetector) RecordEvent() {
 	now := time.Now()
--- a/internal/rwservice/proxy.go
+++ b/internal/rwservice/proxy.go
@@ -377,7 +377,7 @@
 		return answer{}, errors.Trace(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := rwlink.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return answer{}, errors.Trace(err)
 	}
--- a/internal/rwservice/proxy_test.go
+++ b/internal/rwservice/proxy_test.go
@@ -224,3 +224,18 @@
 		require.Len(t, s.calls, 24)
 	})
 }
+
+// TestEndlessBody guards against answers that are cut at the limit and look whole.
+func TestEndlessBody(t *testing.T) {
+	endless := func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	}
+	w, _, _ := serve(t, http.MethodGet, endless, echo)
+	require.Equal(t, "GET /orders/new?x=1 order", w.Body.String())
+	w, _, _ = serve(t, http.MethodPost, endless, echo)
+	require.Equal(t, http.StatusBadGateway, w.Code)
+}
