rwforward: only servers that ended count as lost under a request

What callers would have seen: a request that many send alike, such as a popular read, rejected for ten minutes because live servers broke its connections five times. Cause: since the losses are bounded, each broken connection counted, also by a server that went on. Change: a loss counts when the process has ended: a newer one runs under its id or at its address, its address refuses or doesn't answer, or it left the list. If the address accepts connections, the list is asked again 2 s later, when a restart is in it.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -21,6 +21,10 @@
 	// a request crashed it. By then other servers lost at the same time have been
 	// detected.
 	crashCheckDelay = 400 * time.Millisecond
+	// restartCheckDelay is the time from then until it is checked once more whether an
+	// address that accepts connections has a new process. It covers the time until a
+	// server that has restarted is listed.
+	restartCheckDelay = 2 * time.Second
 	// quarantineCrashes is how many distinct servers must crash while running a
 	// request before it is quarantined. It is one more than package rwpoison requires
 	// of suspects that run alone, because here other requests run beside them.
@@ -46,63 +50,92 @@
 
 const (
 	lossCorrelated lossReason = "correlated" // another server of its zone was lost at the same time
-	lossResponds   lossReason = "responds"   // the server has sent a response since, or accepts connections
+	lossResponds   lossReason = "responds"   // the process still runs
+	lossAccepts    lossReason = "accepts"    // its address accepts connections
 	lossLeaving    lossReason = "leaving"    // it was shutting down in order
 	lossUnlisted   lossReason = "unlisted"   // its entry was removed, so its end may have been in order
 )
 
 // reportLoss records that an exchange with a server ended without a complete response.
-// broken reports that the server or the network broke the connection; otherwise this
-// instance or the caller ended the exchange, and the server is lost only if it turns out
-// to have ended. Later it is judged whether the request crashed the server.
-func (c *call) reportLoss(server rwbackend.Entry, broken bool, cause error) {
+// Later it is judged whether the server ended, and whether the request crashed it.
+func (c *call) reportLoss(server rwbackend.Entry, cause error) {
 	at := time.Now()
-	if broken {
-		c.countLoss(server, cause)
-	}
+	c.lostMu.Lock()
+	c.lost.Add(server.ID)
+	c.lostMu.Unlock()
 	time.AfterFunc(crashCheckDelay, func() {
 		ended, reason := c.judgeLoss(server, at)
-		if ended && !broken {
-			c.countLoss(server, cause)
-		}
-		if reason == "" {
-			c.countCrash(server, cause)
+		if reason == lossAccepts {
+			// The process may be a new one that the store doesn't list yet.
+			time.AfterFunc(restartCheckDelay, func() {
+				ended, reason = c.judgeByDirectory(server, at)
+				c.recordJudgement(server, at, cause, ended, reason)
+			})
 			return
 		}
-		c.f.Counters.increment("crashes_ignored_" + string(reason))
-		c.f.Log.Info("server loss not counted as a crash", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "reason", string(reason),
-			"broken", broken, "cause", cause.Error(), "age", time.Since(at).Seconds())
+		c.recordJudgement(server, at, cause, ended, reason)
 	})
 }
 
+// recordJudgement records what was judged of a loss.
+func (c *call) recordJudgement(server rwbackend.Entry, at time.Time, cause error, ended bool, reason lossReason) {
+	if ended {
+		c.recordSuspicion("server ended while running a request", "losses_counted", server, cause, c.f.Poison.RecordLoss(c.fingerprint, processName(server)))
+	}
+	if reason == "" {
+		crashes := len(c.f.Poison.Get(c.fingerprint).Servers)
+		s := c.f.Poison.Implicate(c.fingerprint, processName(server), crashes >= quarantineCrashes-1)
+		c.recordSuspicion("server crashed while running a request", "crashes_counted", server, cause, s)
+		return
+	}
+	c.f.Counters.increment("crashes_ignored_" + string(reason))
+	c.f.Log.Info("server loss not counted as a crash", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "reason", string(reason),
+		"ended", ended, "cause", cause.Error(), "age", time.Since(at).Seconds())
+}
+
 // judgeLoss reports whether a server has ended since a time, and why the request did not
 // crash it; the reason is empty if it did, as far as can be told.
 func (c *call) judgeLoss(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
-	d := c.f.Directory
-	switch d.Fate(server, since) {
-	case rwbackend.FateResponds:
-		return false, lossResponds
+	if c.f.Directory.Fate(server, since) == rwbackend.FateUnknown {
+		if accepted, _ := rwlink.TryConnect(context.Background(), server.Address, dialTimeout/2); accepted {
+			return false, lossAccepts
+		}
+		return true, c.otherCause(server, since)
+	}
+	return c.judgeByDirectory(server, since)
+}
+
+// judgeByDirectory is judgeLoss without a connection to the server.
+func (c *call) judgeByDirectory(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
+	switch c.f.Directory.Fate(server, since) {
 	case rwbackend.FateLeaving:
 		return true, lossLeaving
 	case rwbackend.FateUnlisted:
 		return true, lossUnlisted
 	case rwbackend.FateReplaced:
-	case rwbackend.FateUnknown:
-		if accepted, _ := rwlink.TryConnect(context.Background(), server.Address, dialTimeout/2); accepted {
-			return false, lossResponds
-		}
+		return true, c.otherCause(server, since)
+	case rwbackend.FateResponds, rwbackend.FateUnknown:
 	}
-	// Servers that ran the request and were lost at the same time are no sign of
-	// another cause.
+	return false, lossResponds
+}
+
+// otherCause returns a cause other than the request for the end of a server, or an empty
+// reason. Servers that ran the request and were lost at the same time are no sign of one.
+func (c *call) otherCause(server rwbackend.Entry, at time.Time) lossReason {
 	ran := rwset.New[string]()
 	for _, loss := range c.f.Poison.Get(c.fingerprint).Losses {
 		id, _, _ := strings.Cut(loss, lossSeparator)
 		ran.Add(id)
 	}
-	if d.IsCorrelatedLoss(server, since, ran.Has) {
-		return true, lossCorrelated
+	c.lostMu.Lock()
+	for id := range c.lost {
+		ran.Add(id)
+	}
+	c.lostMu.Unlock()
+	if c.f.Directory.IsCorrelatedLoss(server, at, ran.Has) {
+		return lossCorrelated
 	}
-	return true, ""
+	return ""
 }
 
 const lossSeparator = "/"
@@ -112,16 +145,6 @@
 	return server.ID + lossSeparator + strconv.FormatInt(server.Incarnation, 10)
 }
 
-func (c *call) countLoss(server rwbackend.Entry, cause error) {
-	c.recordSuspicion("server lost while running a request", "losses_counted", server, cause, c.f.Poison.RecordLoss(c.fingerprint, processName(server)))
-}
-
-func (c *call) countCrash(server rwbackend.Entry, cause error) {
-	crashes := len(c.f.Poison.Get(c.fingerprint).Servers)
-	s := c.f.Poison.Implicate(c.fingerprint, processName(server), crashes >= quarantineCrashes-1)
-	c.recordSuspicion("server crashed while running a request", "crashes_counted", server, cause, s)
-}
-
 // recordSuspicion logs, counts and publishes a suspicion.
 func (c *call) recordSuspicion(text, counter string, server rwbackend.Entry, cause error, s rwpoison.Suspicion) {
 	c.f.Counters.increment(counter)
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
 	"ragwortwall/internal/rwversion"
+	"ragwortwall/pkg/rwset"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -96,11 +98,13 @@
 	tried               map[string]bool // ids of the servers that were chosen
 	versionAttempt      *rwversion.Attempt
 	bufferedBytes       int64 // that this call has added to those of the Forwarder
+	lostMu              sync.Mutex
+	lost                rwset.Set[string] // ids of servers that were lost while they ran the request
 }
 
 // ServeHTTP handles one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{f: f, w: w, r: r, info: f.Wire.ParseRequest(r.Header), state: f.State(), startedAt: time.Now(), tried: map[string]bool{}}
+	c := &call{f: f, w: w, r: r, info: f.Wire.ParseRequest(r.Header), state: f.State(), startedAt: time.Now(), tried: map[string]bool{}, lost: rwset.New[string]()}
 	// Close the connection after a body without a length: another reader of the
 	// same bytes may disagree about where the request ends (request smuggling).
 	if len(r.TransferEncoding) > 0 || f.ShuttingDown() {
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -170,9 +170,8 @@
 	response, err := c.exchange(conn, server.ID)
 	if err != nil {
 		conn.Close()
-		broken := ctx.Err() == nil
-		c.reportLoss(server.Entry, broken, err)
-		if broken && !reused {
+		c.reportLoss(server.Entry, err)
+		if ctx.Err() == nil && !reused {
 			c.f.Directory.RecordLoss(server.ID)
 			c.recordVersionOutcome(server, true, 0)
 		}
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -157,8 +157,7 @@
 // for the caller. If the caller left, it only returns errCallerLeft.
 func (s *stream) recordInterruption(target attemptTarget, cause error) error {
 	callerLeft := s.r.Context().Err() != nil || errors.Is(cause, errCallerLeft)
-	own := callerLeft || s.remaining() <= 0 || errors.Is(cause, errHung) || errors.Is(cause, errEventGap) || errors.Is(cause, errInvalidResponse)
-	s.reportLoss(target.server.Entry, !own, cause)
+	s.reportLoss(target.server.Entry, cause)
 	if callerLeft {
 		return errCallerLeft
 	}
@@ -267,7 +266,7 @@
 func (s *stream) rejectEmptyEnd(target attemptTarget) error {
 	s.emptyEndAttempt = s.attempts
 	s.logAttempt("stream ended without events", target.server.ID, nil)
-	s.reportLoss(target.server.Entry, true, io.EOF)
+	s.reportLoss(target.server.Entry, io.EOF)
 	return rwerror.New(rwerror.KindOutcomeUnknown, "retry with the id of the last event",
 		"backend server %s ended the stream without an event", target.server.ID).WithRan(rwerror.RanUnknown)
 }
