Own interface: a silent server is judged again before it counts as lost

Cause, found by reading as on the users' platform: a stalled attempt counted as a loss at once, also at a server that went on 100 ms later. Change: a server that fell silent, or whose process isn't known, is asked once more 2 s later; it counts unless the same process answers.

--- a/internal/rwgeneration/run.go
+++ b/internal/rwgeneration/run.go
@@ -175,7 +175,7 @@
 		p.implicate(ctx, g, a)
 	case outcomeStalled:
 		p.Counters.Add("stalled", 1)
-		p.recordLoss(g, a, "stalled")
+		go p.judgeLater(g, a)
 	default:
 	}
 	go p.Slots.Release(a.server.Name, a.lineage.Stream, outcome.slotOutcome(), a.meanTokenTime())
@@ -199,7 +199,7 @@
 		p.Log.Info("server loss not counted against the request", "generation", FormatID(g.Spec.ID), "server", a.server.Name, "attempt", a.lineage.Attempt, "reason", "responds")
 		return
 	case fateUnknown:
-		p.recordLoss(g, a, "lost")
+		go p.judgeLater(g, a)
 		return
 	case fateEnded:
 	}
@@ -211,6 +211,19 @@
 	p.NotifySuspicion(g.Spec.ID, s)
 }
 
+// judgeLater asks about the process once more after lateJudgement. It is recorded as lost
+// unless it runs.
+func (p *Primary) judgeLater(g *Generation, a *attempt) {
+	time.Sleep(lateJudgement)
+	if fate := p.processFate(context.Background(), a); fate != fateRuns {
+		p.recordLoss(g, a, fate.String())
+	}
+}
+
+// lateJudgement is the time after which a server that fell silent is judged. It covers a
+// restart, and the time until its owner has reported the new process.
+const lateJudgement = 2 * time.Second
+
 // recordLoss records that a server was lost while it ran the request, unless the attempt
 // had made progress.
 func (p *Primary) recordLoss(g *Generation, a *attempt, cause string) {
@@ -232,6 +245,10 @@
 	fateEnded               // connections are refused, or another process answers
 )
 
+func (f processFate) String() string {
+	return [...]string{"unknown", "runs", "ended"}[f]
+}
+
 // processFate asks the server's address about the process that ran the attempt.
 func (p *Primary) processFate(ctx context.Context, a *attempt) processFate {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
