rwgeneration: a request that waits at a lost server searches on

When that server was lost the request was refused on the spot; when its wait was over, other servers were not asked although they had slots free all the while. Change: a request whose server was lost while it waited searches again for the rest of its time; one whose wait is over asks up to eight servers for a free slot before it is refused.

--- a/internal/rwgeneration/place.go
+++ b/internal/rwgeneration/place.go
@@ -29,6 +29,8 @@
 	route      rwtree.NamedRoute
 	avoid      rwset.Set[string] // servers on which attempts of the generation failed
 	resume     bool              // an earlier attempt ran, and the caller waits for more tokens
+	lastSearch bool              // the request has waited; ask more servers and don't wait
+	queueLost  bool              // the server at which the last search waited was lost meanwhile
 }
 
 // place acquires a slot at a server for the next attempt.
@@ -49,7 +51,8 @@
 }
 
 // run searches until it has a slot. It returns the first refusal, unless an earlier
-// attempt ran: then it retries until the time given by maxSlotWait has passed.
+// attempt ran, or the server at which it waited was lost: then it searches again until the
+// time given by maxSlotWait has passed.
 func (s *slotSearch) run(ctx context.Context) (*attempt, error) {
 	until := time.Now().Add(maxSlotWait(s.generation, s.route, s.resume))
 	for {
@@ -57,15 +60,28 @@
 		if err == nil || ctx.Err() != nil {
 			return a, err
 		}
-		if !s.resume || time.Now().After(until) || rwerror.Is(err, rwerror.KindQuarantined) {
+		if rwerror.Is(err, rwerror.KindQuarantined) || !s.resume && !s.queueLost && time.Now().Before(until) {
 			return nil, err
 		}
+		if !time.Now().Before(until) {
+			return s.searchLast(ctx, err)
+		}
 		s.avoid.Clear()
 		rwtime.Sleep(ctx, placementRetryInterval)
 		s.tree = s.primary.Tree()
 	}
 }
 
+// searchLast asks more servers for a free slot before a request is refused that has waited
+// at one of them. That one was chosen by loads that may have been out of date.
+func (s *slotSearch) searchLast(ctx context.Context, refusal error) (*attempt, error) {
+	s.lastSearch = true
+	if a, err := s.searchOnce(ctx, 0); err == nil {
+		return a, nil
+	}
+	return nil, refusal
+}
+
 // adoptedAttempt returns an attempt that resumes the engine's live stream, if the
 // generation was taken over from a failed primary and this is the first call.
 func (p *Primary) adoptedAttempt(g *Generation, tree rwtree.Tree) (*attempt, bool) {
@@ -204,6 +220,7 @@
 // the shortest expected wait.
 func (s *slotSearch) acquire(ctx context.Context, version string, ordered []rwchoice.Candidate, wait time.Duration) (*attempt, error) {
 	maxAsked, wait := s.limits(wait)
+	s.queueLost = false
 	var refusal error
 	for i, c := range ordered {
 		last := i >= maxAsked || i == len(ordered)-1
@@ -218,6 +235,7 @@
 		}
 		refusal = earlierRetry(refusal, err)
 		if last {
+			s.queueLost = rwerror.Is(err, rwerror.KindUnavailable)
 			break
 		}
 	}
@@ -227,7 +245,10 @@
 // limits returns how many servers to ask for a free slot, and how long to queue at
 // the last one. Urgent attempts ask more servers and queue for a shorter time.
 func (s *slotSearch) limits(wait time.Duration) (int, time.Duration) {
-	if s.resume {
+	switch {
+	case s.lastSearch:
+		return maxServersAskedUrgent, 0
+	case s.resume:
 		return maxServersAskedUrgent, min(wait, maxUrgentWait)
 	}
 	if s.primary.Suspicions.Suspect(rwpoison.Fingerprint(s.generation.Spec.Fingerprint)) {
--- a/internal/rwserve/answer_test.go
+++ b/internal/rwserve/answer_test.go
@@ -76,6 +76,27 @@
 	})
 }
 
+// TestQueuedAtLostServer guards against requests that are refused because the engine at
+// which they wait for a slot is lost, though another one becomes free in time.
+func TestQueuedAtLostServer(t *testing.T) {
+	for killed := range 3 {
+		t.Run(engineName(killed), func(t *testing.T) {
+			withFleet(t, fleetOptions{instances: 3, engines: 3, capacity: 2}, func(f *fleet) {
+				a := func(n int) completionRequest { return completionRequest{prompt: prompt(n), tokens: 60} }
+				var answers []<-chan completionResult
+				for n := range 7 { // one more than there are slots
+					answers = append(answers, f.completeAsync(n%3, a(n)))
+					time.Sleep(5 * time.Millisecond)
+				}
+				f.engines[killed].Kill()
+				for n, done := range answers {
+					requireComplete(t, a(n), <-done)
+				}
+			})
+		})
+	}
+}
+
 // TestAnswerPrimaryReturns unfreezes a primary after another one has taken over. Late
 // output of the old primary must not reach the caller.
 func TestAnswerPrimaryReturns(t *testing.T) {
--- a/internal/rwservice/proxy_test.go
+++ b/internal/rwservice/proxy_test.go
@@ -89,7 +89,8 @@
 		server := &http.Server{ReadHeaderTimeout: time.Minute}
 		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			defer func() {
-				if v := recover(); v == errCrash {
+				v := recover()
+				if err, ok := v.(error); ok && errors.Is(err, errCrash) {
 					_ = server.Close()
 				} else if v != nil {
 					panic(v)
