rwlink: a long body is read in blocks

Cause: io.ReadAll copies a body of 8 MiB several times as its buffer grows. Change: blocks of 4 to 64 KiB, joined once.

--- a/internal/rwlink/conn_test.go
+++ b/internal/rwlink/conn_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -214,3 +215,25 @@
 	_, reused = get(false)
 	require.False(t, reused)
 }
+
+func TestReadAll(t *testing.T) {
+	const limit = 200 << 10
+	for name, c := range map[string]struct {
+		body io.Reader
+		size int
+		err  error
+	}{
+		"empty":              {strings.NewReader(""), 0, nil},
+		"short":              {strings.NewReader("whole"), 5, nil},
+		"as long as a block": {strings.NewReader(strings.Repeat("x", minReadBlock)), minReadBlock, nil},
+		"at the limit":       {strings.NewReader(strings.Repeat("x", limit)), limit, nil},
+		"too long":           {strings.NewReader(strings.Repeat("x", limit+1)), 0, ErrBodyTooLong},
+		"truncated":          {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 0, io.ErrUnexpectedEOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			content, err := ReadAll(c.body, limit)
+			require.ErrorIs(t, err, c.err)
+			require.Len(t, content, c.size)
+		})
+	}
+}
--- a/internal/rwlink/head.go
+++ b/internal/rwlink/head.go
@@ -3,12 +3,15 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/pkg/rwset"
+
+	"github.com/juju/errors"
 )
 
 // HopByHopHeaders is the set of hop-by-hop headers of requests and responses. They
@@ -96,12 +99,30 @@
 
 // ReadAll reads a whole body. It returns ErrBodyTooLong if it has more than limit bytes.
 func ReadAll(r io.Reader, limit int) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(content) > limit {
-		return nil, ErrBodyTooLong
+	// io.ReadAll would copy a long body several times as its buffer grows.
+	var blocks [][]byte
+	block := make([]byte, 0, minReadBlock)
+	total := 0
+	for {
+		n, err := r.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
+		total += n
+		switch {
+		case total > limit:
+			return nil, ErrBodyTooLong
+		case errors.Is(err, io.EOF):
+			return slices.Concat(append(blocks, block)...), nil
+		case err != nil:
+			return nil, err
+		case len(block) == cap(block):
+			blocks = append(blocks, block)
+			block = make([]byte, 0, min(2*cap(block), maxReadBlock))
+		}
 	}
-	return content, nil
 }
+
+// Sizes of the blocks, in bytes, in which ReadAll reads.
+const (
+	minReadBlock = 4 << 10
+	maxReadBlock = 64 << 10
+)
