--- a/internal/rwserve/poison_test.go
+++ b/internal/rwserve/poison_test.go
@@ -1,6 +1,7 @@
 package rwserve
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -30,10 +31,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, fleetOptions{instances: 4, engines: 6, capacity: 4}, func(f *fleet) {
+				var mu sync.Mutex // engines crash at the same time
 				var crashes []time.Time
 				for n, e := range f.engines {
 					e.OnCrash = func(string) {
+						mu.Lock()
 						crashes = append(crashes, time.Now())
+						mu.Unlock()
 						f.network.Freeze(engineName(n), c.silent)
 						if !c.silent {
 							f.network.Kill(engineName(n))
@@ -41,6 +45,8 @@
 						time.Sleep(c.downTime)
 						f.network.Kill(engineName(n))
 						f.network.Freeze(engineName(n), false)
+						mu.Lock()
+						defer mu.Unlock()
 						f.restartEngine(n)
 					}
 				}
@@ -50,11 +56,13 @@
 					time.Sleep(300 * time.Millisecond)
 				}
 				late := 0
+				mu.Lock()
 				for _, at := range crashes {
 					if len(crashes) > 2 && at.Sub(crashes[2]) > contactTime {
 						late++
 					}
 				}
+				mu.Unlock()
 				require.LessOrEqual(t, late, maxLateRetries, "%d servers crashed", len(crashes))
 				require.Equal(t, "quarantined", f.complete(0, poison).code)
 				other := completionRequest{prompt: prompt(1), tokens: 40}
