--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -31,9 +31,9 @@
 	quarantineCrashes = 3
 )
 
-// computeFingerprint returns the identity of a request across retries: it covers the organisation,
-// method, host, path, query and body. Ids of the request and of parts of its prompt may
-// be new in each attempt.
+// computeFingerprint returns the identity of a request across retries: it covers the
+// organisation, method, host, path, query and body. Ids of the request and of parts of
+// its prompt may be new in each attempt.
 func (c *call) computeFingerprint() rwpoison.Fingerprint {
 	h := xxhash.New()
 	for _, part := range []string{c.org.Name, c.r.Method, c.r.Host, c.requestTarget()} {
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -51,7 +51,7 @@
 	defer listener.Close()
 	open := listener.Addr().String()
 	server := rwbackend.Entry{ID: "s1", Service: "model", Zone: "a", Address: rwloopback.Address(), Incarnation: 1}
-	other := rwbackend.Entry{ID: "s2", Service: "model", Zone: "a", Address: "192.0.2.1:1", Incarnation: 1}
+	other := rwbackend.Entry{ID: "s2", Service: "model", Zone: "a", Address: rwloopback.Address(), Incarnation: 1}
 	with := func(e rwbackend.Entry, change func(e *rwbackend.Entry)) rwbackend.Entry {
 		change(&e)
 		return e
