Soak: the check of crashing requests counts instances in touch, without a grace

What was seen:, 8 of 26 servers crashed later than 9.5 s after the third. Trace: all instances were killed at 12.4 s; entry-5 started again, its first peer hung, and it sent the request until it learned of the quarantine 2.0 s after its start. The rule counts machines that ran for 3 s, so the case is allowed. Change: the check knows which instance sent each request and which had a fault, or the store, in the 3 s before; in exchange the grace of 6.5 s is gone and it counts from 3 s after the third crash, as the rule says.

--- a/internal/rwsoak/faults.go
+++ b/internal/rwsoak/faults.go
@@ -240,10 +240,12 @@
 		s.mu.Lock()
 		s.report.Faults = append(s.report.Faults, fmt.Sprintf("%.1f %s %s %.1f", f.start.Seconds(), kind.name, target, f.duration.Seconds()))
 		s.mu.Unlock()
+		disturbanceEnd := s.disturb(target)
 		end := kind.inject(s, f.targetIndex)
 		running.Go(func() {
 			time.Sleep(f.duration)
 			end()
+			disturbanceEnd()
 			mu.Lock()
 			defer mu.Unlock()
 			delete(busyTargets, target)
@@ -257,6 +259,7 @@
 // because of its outdated settings.
 func (s *Soak) revokeKey() {
 	paused := s.instances[s.Seed%uint64(len(s.instances))]
+	defer s.disturb("process " + paused.Name)()
 	paused.signal(syscall.SIGSTOP)
 	s.store.Configure(standin.Configuration{Version: 2, Keys: []string{standin.Key}})
 	s.revokedAt.Store(time.Now().UnixMilli())
--- a/internal/rwsoak/poison.go
+++ b/internal/rwsoak/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,11 +12,10 @@
 
 // Terms of the users' rule on requests that crash servers: after the third crash and
 // contactTime for it to become known, at most maxLateRetries may reach a server. Only
-// instances count that ran without a fault for contactTime before; here all faults
-// count against them, so poisonGrace is added for those that were in one.
+// retries by instances in touch count: that had no fault, and no start, for contactTime
+// before, while the store had none either.
 const (
 	contactTime    = 3 * time.Second
-	poisonGrace    = maxFaultDuration + contactTime
 	maxLateRetries = 3
 
 	poisonPath      = "/looks/poison"
@@ -41,7 +41,11 @@
 			defer c.HTTP.CloseIdleConnections()
 			for ctx.Err() == nil {
 				sendCtx, cancel := context.WithTimeout(ctx, poisonTimeout)
-				_, _ = c.Send(sendCtx, method, s.fleet.CrashPath, "5a1c")
+				_, _ = c.Send(sendCtx, method, s.fleet.CrashPath, "5a1c", func(id string) {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.poisonSentTo[id] = i.Name
+				})
 				cancel()
 				select {
 				case <-ctx.Done():
@@ -55,18 +59,61 @@
 
 // checkPoison checks that the request was kept from the servers once it was known.
 func (s *Soak) checkPoison() {
-	crashes := s.fleet.CrashTimes()
+	crashes := s.fleet.Crashes()
 	s.report.Crashes = len(crashes)
 	if len(crashes) < 3 {
 		return
 	}
 	late := 0
-	for _, at := range crashes {
-		if at.Sub(crashes[2]) > contactTime+poisonGrace {
+	for _, c := range crashes {
+		if c.At.Sub(crashes[2].At) > contactTime && s.inTouch(s.poisonSentTo[c.Request], c.At) {
 			late++
 		}
 	}
 	if late > maxLateRetries {
-		s.addViolation("a request that crashes servers reached %d of them later than %s after the third crash, %d in all", late, contactTime+poisonGrace, len(crashes))
+		s.addViolation("instances in touch sent a request that crashes servers to %d of them later than %s after the third crash; %d crashed in all", late, contactTime, len(crashes))
 	}
 }
+
+// disturbance is the time of a fault that puts an instance out of touch, or all instances
+// if it has no name.
+type disturbance struct {
+	instance   string
+	start, end time.Time // end is zero while it lasts
+}
+
+// disturb records that a fault begins, and returns the function that records its end.
+// Faults of servers are none of an instance.
+func (s *Soak) disturb(target string) func() {
+	kind, name, _ := strings.Cut(target, " ")
+	switch kind {
+	case "process", "peers", "link":
+		if !strings.HasPrefix(name, instancePrefix) {
+			return func() {} // the link to a server
+		}
+	case "processes", "store":
+		name = ""
+	default:
+		return func() {}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.disturbances)
+	s.disturbances = append(s.disturbances, disturbance{instance: name, start: time.Now()})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.disturbances[n].end = time.Now()
+	}
+}
+
+// inTouch reports whether an instance was in touch at a time.
+func (s *Soak) inTouch(instance string, at time.Time) bool {
+	for _, d := range s.disturbances {
+		over := !d.end.IsZero() && at.Sub(d.end) > contactTime
+		if (d.instance == "" || d.instance == instance) && !at.Before(d.start) && !over {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/rwsoak/process.go
+++ b/internal/rwsoak/process.go
@@ -28,6 +28,8 @@
 	cmd *exec.Cmd
 }
 
+const instancePrefix = "entry-"
+
 // newInstance returns the n-th instance, not yet started. It has its own loopback IP
 // address, derived from the id of this process, so that concurrent soaks don't use
 // the same ports.
@@ -37,7 +39,7 @@
 		return nil, err
 	}
 	i := &instance{program: program, logDir: logDir, storeProxy: storeProxy}
-	i.Name, i.Zone, i.StoreAddress = fmt.Sprintf("entry-%d", n), standin.Zone(n%zones), storeProxy.Address
+	i.Name, i.Zone, i.StoreAddress = fmt.Sprint(instancePrefix, n), standin.Zone(n%zones), storeProxy.Address
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%250, os.Getpid()%256, 1+n%250)
 	i.CallerAddress, i.ReadyAddress, i.ControlAddress, i.NoticeAddress = ip+":8740", ip+":8749", ip+":8748", ip+":7200"
 	if i.peerProxies, err = newPeerProxyPair(i); err != nil {
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -38,8 +38,10 @@
 	mu             sync.Mutex
 	reportedNotRun map[string]bool // ids of orders whose caller was told that they did not run
 	orderIDs       []string
-	revokedAt      atomic.Int64  // Unix milliseconds at which standin.RevocableKey was revoked; 0 before
-	addressTurn    atomic.Uint64 // counts the calls of nextAddress
+	revokedAt      atomic.Int64      // Unix milliseconds at which standin.RevocableKey was revoked; 0 before
+	addressTurn    atomic.Uint64     // counts the calls of nextAddress
+	poisonSentTo   map[string]string // names of instances, by id of the request that crashes servers
+	disturbances   []disturbance
 }
 
 // Report is the result of a soak run.
@@ -75,7 +77,7 @@
 // Run runs the soak and returns its report. It returns an error only if the
 // setup fails; violated guarantees are in the report.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
-	s.report.Seed, s.report.Logs, s.reportedNotRun = s.Seed, s.Logs, map[string]bool{}
+	s.report.Seed, s.report.Logs, s.reportedNotRun, s.poisonSentTo = s.Seed, s.Logs, map[string]bool{}, map[string]string{}
 	if err := os.MkdirAll(s.Logs, 0o750); err != nil {
 		return s.report, err
 	}
