rwpoison: a quarantined request names no more servers

What callers would have seen: an instance that learns late of a request that crashes servers, because notices about it were dropped as too large. Evidence: TestNamesBounded failed before.

--- a/internal/rwpoison/registry.go
+++ b/internal/rwpoison/registry.go
@@ -159,7 +159,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entryLocked(f)
-	e.servers.Add(server)
+	if !e.quarantined { // more names would not fit into a notice
+		e.servers.Add(server)
+	}
 	e.updatedAt = time.Now()
 	e.cleared = false
 	e.quarantined = e.quarantined || isolated && len(e.servers) >= QuarantineThreshold
@@ -192,7 +194,10 @@
 	for _, name := range s.Losses {
 		e.addLoss(name, now)
 	}
-	e.quarantined = e.quarantined || s.Quarantined
+	if e.quarantined {
+		return
+	}
+	e.quarantined = s.Quarantined
 	for _, server := range s.Servers {
 		if !e.servers.Has(server) {
 			e.servers.Add(server)
--- a/internal/rwpoison/registry_test.go
+++ b/internal/rwpoison/registry_test.go
@@ -100,3 +100,19 @@
 		})
 	}
 }
+
+// TestNamesBounded guards against suspicions that grow with each server that a request
+// crashes, until they no longer fit into a notice to the other instances.
+func TestNamesBounded(t *testing.T) {
+	var r Registry
+	for n := range 50 {
+		server := string(rune('a' + n))
+		r.RecordLoss(1, server)
+		r.Implicate(1, server, n >= 2)
+		r.Merge(Suspicion{Fingerprint: 1, Servers: []string{server + "'"}, Losses: []string{server + "'"}})
+	}
+	s := r.Get(1)
+	require.True(t, s.Quarantined)
+	require.LessOrEqual(t, len(s.Servers), 6)
+	require.Len(t, s.Losses, MaxLosses)
+}
