Log lines on losses that are forgotten, merged suspicions and paths

A completion that forgets the losses of a request left no line, and a suspicion from a peer was logged with the sender's counts. Lines on losses name a digest of the path as well, so that requests which differ in their query can be joined.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -42,6 +42,13 @@
 	return rwpoison.Fingerprint(h.Sum64())
 }
 
+// pathDigest identifies the organisation, host and path in log lines, so that requests can be
+// joined that differ in their query only.
+func (c *call) pathDigest() string {
+	path, _, _ := strings.Cut(c.requestTarget(), "?")
+	return strconv.FormatUint(xxhash.Sum64String(c.org.Name+"\x00"+c.r.Host+"\x00"+path), 16)
+}
+
 // lossReason tells why the loss of a server is not counted against the request that it
 // ran.
 type lossReason string
@@ -93,7 +100,7 @@
 		return
 	}
 	c.f.Counters.increment("crashes_ignored_" + string(reason))
-	c.f.Log.Info("server loss not counted as a crash", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "reason", string(reason),
+	c.f.Log.Info("server loss not counted as a crash", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "path", c.pathDigest(), "server", server.ID, "reason", string(reason),
 		"ended", ended, "cause", cause.Error(), "age", time.Since(at).Seconds(), "parts", c.partNames(), "progress", progress)
 }
 
@@ -152,17 +159,22 @@
 // recordSuspicion logs, counts and publishes a suspicion.
 func (c *call) recordSuspicion(text, counter string, server rwbackend.Entry, progress string, cause error, s rwpoison.Suspicion) {
 	c.f.Counters.increment(counter)
-	c.f.Log.Info(text, "request", c.info.ID, "fingerprint", c.fingerprint.String(), "server", server.ID, "incarnation", server.Incarnation, "cause", cause.Error(),
+	c.f.Log.Info(text, "request", c.info.ID, "fingerprint", c.fingerprint.String(), "path", c.pathDigest(), "server", server.ID, "incarnation", server.Incarnation, "cause", cause.Error(),
 		"losses", len(s.Losses), "crashes", len(s.Servers), "quarantined", s.Rejected(), "parts", c.partNames(), "progress", progress)
 	c.f.NotifySuspicion(s)
 }
 
 // recordSurvival records that a server returned a whole response to the request, which
 // therefore doesn't crash servers.
-func (c *call) recordSurvival() {
-	if s, ok := c.f.Poison.Complete(c.fingerprint); ok {
-		c.f.NotifySuspicion(s)
+func (c *call) recordSurvival(server string, status int) {
+	s, ok := c.f.Poison.Complete(c.fingerprint)
+	if !ok {
+		return
 	}
+	c.f.Counters.increment("suspicions_cleared")
+	c.f.Log.Info("losses forgotten", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "path", c.pathDigest(), "server", server, "status", status,
+		"losses", len(s.Losses), "crashes", len(s.Servers))
+	c.f.NotifySuspicion(s)
 }
 
 // checkQuarantine rejects a request under which too many servers crashed or were lost.
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -228,7 +228,7 @@
 		c.logAttempt("request not run by the server", response.server, nil)
 		return rwattempt.Result[serverResponse]{Outcome: rwattempt.OutcomeNotRun, Err: notRunError(response.server)}
 	}
-	c.recordSurvival()
+	c.recordSurvival(response.server, response.status)
 	failed := response.status >= http.StatusInternalServerError
 	c.f.Directory.RecordResponse(response.server, failed, took, response.reply.Load)
 	if response.status < 300 && !response.success() || !response.reply.Signed && response.status >= 300 {
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return false, s.recordInterruption(target, err)
 	}
-	s.recordSurvival()
+	s.recordSurvival(target.server.ID, response.StatusCode)
 	s.f.Directory.RecordResponse(target.server.ID, true, 0, reply.Load)
 	s.recordVersionOutcome(target.server, true, 0)
 	s.logAttempt("failed", target.server.ID, errors.Errorf("status %d", response.StatusCode))
@@ -273,7 +273,7 @@
 // the end.
 func (s *stream) recordCompletion(server string, reply ResponseInfo) {
 	if server != "" {
-		s.recordSurvival()
+		s.recordSurvival(server, http.StatusOK)
 	}
 	s.f.Directory.RecordResponse(server, false, 0, reply.Load)
 	first := time.Duration(0)
--- a/internal/rwpeer/suspicion.go
+++ b/internal/rwpeer/suspicion.go
@@ -49,7 +49,7 @@
 	x.Poison.Merge(s)
 	after := x.Poison.Get(s.Fingerprint)
 	if !reflect.DeepEqual(before, after) {
-		x.Log.Info("suspicion received from a peer", "fingerprint", s.Fingerprint.String(), "by", from, "losses", len(s.Losses), "crashes", len(s.Servers), "completed", s.Completed,
+		x.Log.Info("suspicion received from a peer", "fingerprint", s.Fingerprint.String(), "by", from, "losses", len(after.Losses), "crashes", len(after.Servers), "told", len(s.Losses), "completed", s.Completed,
 			"quarantined", after.Rejected())
 	}
 }
--- a/internal/rwservice/proxy.go
+++ b/internal/rwservice/proxy.go
@@ -257,10 +257,14 @@
 }
 
 // recordSurvival records that a server returned a whole answer to the call.
-func (c *call) recordSurvival() {
-	if s, ok := c.proxy.Suspicions.Complete(c.fingerprint); ok {
-		go c.proxy.NotifySuspicion(s)
+func (c *call) recordSurvival(server string, status int) {
+	s, ok := c.proxy.Suspicions.Complete(c.fingerprint)
+	if !ok {
+		return
 	}
+	c.proxy.Log.Info("losses forgotten", "route", c.route.Key(), "organisation", c.caller.Name, "fingerprint", c.fingerprint.String(),
+		"server", server, "status", status, "losses", len(s.Losses))
+	go c.proxy.NotifySuspicion(s)
 }
 
 // heldSlot is an acquired slot of a backend server.
@@ -357,7 +361,7 @@
 			"repeat the call with the same key for the outcome, or ask the service for its status; do not use another key",
 			"the connection to backend server %s was lost after the call was sent", slot.server.Name).WithRan(rwerror.RanUnknown).WithRetryAfter(serverRetryAfter).WithCause(err)}
 	}
-	c.recordSurvival()
+	c.recordSurvival(slot.server.Name, a.status)
 	return rwattempt.Result[answer]{Answer: a, Failed: a.status >= http.StatusInternalServerError}
 }
 
