rwforward, rwservice: a server's failure doesn't clear the losses of a request

Callers saw all servers of a service end again and again under one read. Each whole response that wasn't 'not run' forgot all losses under a request, at all instances: also a 500, or a response without a signature. Only a signed response below 500 shows now that a server ran the request to its end.

On the own interface 'failures in between' of TestLossesBounded failed before with 502 in place of the quarantine.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -164,8 +164,8 @@
 	c.f.NotifySuspicion(s)
 }
 
-// recordSurvival records that a server returned a whole response to the request, which
-// therefore doesn't crash servers.
+// recordSurvival records that a server ran the request to the end, which therefore doesn't
+// crash servers. A server's failure is no sign of that: it may have come before the crash.
 func (c *call) recordSurvival(server string, status int) {
 	s, ok := c.f.Poison.Complete(c.fingerprint)
 	if !ok {
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -228,8 +228,10 @@
 		c.logAttempt("request not run by the server", response.server, nil)
 		return rwattempt.Result[serverResponse]{Outcome: rwattempt.OutcomeNotRun, Err: notRunError(response.server)}
 	}
-	c.recordSurvival(response.server, response.status)
 	failed := response.status >= http.StatusInternalServerError
+	if !failed && response.reply.Signed {
+		c.recordSurvival(response.server, response.status)
+	}
 	c.f.Directory.RecordResponse(response.server, failed, took, response.reply.Load)
 	if response.status < 300 && !response.success() || !response.reply.Signed && response.status >= 300 {
 		c.logAttempt("invalid response", response.server, nil)
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -189,7 +189,9 @@
 	if err != nil {
 		return false, s.recordInterruption(target, err)
 	}
-	s.recordSurvival(target.server.ID, response.StatusCode)
+	if reply.Signed && response.StatusCode < http.StatusInternalServerError {
+		s.recordSurvival(target.server.ID, response.StatusCode)
+	}
 	s.f.Directory.RecordResponse(target.server.ID, true, 0, reply.Load)
 	s.recordVersionOutcome(target.server, true, 0)
 	s.logAttempt("failed", target.server.ID, errors.Errorf("status %d", response.StatusCode))
--- a/internal/rwservice/proxy.go
+++ b/internal/rwservice/proxy.go
@@ -256,7 +256,8 @@
 	go c.proxy.NotifySuspicion(s)
 }
 
-// recordSurvival records that a server returned a whole answer to the call.
+// recordSurvival records that a server ran the call to the end. A server's failure is no sign
+// that the call doesn't crash servers.
 func (c *call) recordSurvival(server string, status int) {
 	s, ok := c.proxy.Suspicions.Complete(c.fingerprint)
 	if !ok {
@@ -361,8 +362,11 @@
 			"repeat the call with the same key for the outcome, or ask the service for its status; do not use another key",
 			"the connection to backend server %s was lost after the call was sent", slot.server.Name).WithRan(rwerror.RanUnknown).WithRetryAfter(serverRetryAfter).WithCause(err)}
 	}
-	c.recordSurvival(slot.server.Name, a.status)
-	return rwattempt.Result[answer]{Answer: a, Failed: a.status >= http.StatusInternalServerError}
+	failed := a.status >= http.StatusInternalServerError
+	if !failed {
+		c.recordSurvival(slot.server.Name, a.status)
+	}
+	return rwattempt.Result[answer]{Answer: a, Failed: failed}
 }
 
 // exchange sends the call on conn and reads the whole answer.
--- a/internal/rwservice/proxy_test.go
+++ b/internal/rwservice/proxy_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,6 +221,19 @@
 			require.Len(t, s.calls, rwpoison.MaxLosses)
 		})
 	}
+	t.Run("failures in between", func(t *testing.T) {
+		var arrived atomic.Int32
+		crashOrFail := func(w http.ResponseWriter, r *http.Request) {
+			if arrived.Add(1)%2 == 0 {
+				failWith500(w, r)
+				return
+			}
+			crash(w, r)
+		}
+		w, s, _ := serveTimes(t, 20, http.MethodGet, slices.Repeat([]http.HandlerFunc{crashOrFail}, 20)...)
+		require.Equal(t, http.StatusUnprocessableEntity, w.Code)
+		require.Len(t, s.calls, 2*rwpoison.MaxLosses-1)
+	})
 	t.Run("servers that survive", func(t *testing.T) {
 		w, s, _ := serveTimes(t, 12, http.MethodGet, abortConnection, echo)
 		require.Equal(t, http.StatusOK, w.Code)
