rwpart: requests without a prompt are held by what they share

A read that crashes each server and has a new query or path each time was a new request with each attempt: two losses at most, so it was sent on without end. It has no parts of a prompt either, by which streams are held. Its path, directories, parameters and body are now counted like parts, and what sound requests have as well is cleared by them.

--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -105,7 +105,8 @@
 	versionAttempt      *rwversion.Attempt
 	bufferedBytes       int64            // that this call has added to those of the Forwarder
 	progress            responseProgress // of the current attempt
-	partKeys            []rwpart.Key     // of the shared parts of the prompt
+	parts               []sharedPart     // what it may have in common with requests that crash servers
+	partKeys            []rwpart.Key     // of parts
 	partTrial           int              // attempt that was admitted with a held part
 	lostMu              sync.Mutex
 	lost                rwset.Set[string] // ids of servers that were lost while they ran the request
@@ -128,7 +129,7 @@
 	if err == nil {
 		f.Counters.countRequest(c.route.Kind)
 		c.fingerprint = c.computeFingerprint()
-		c.partKeys = c.computePartKeys()
+		c.setParts(c.sharedParts())
 		err = c.checkQuarantine()
 	}
 	if err == nil {
--- a/internal/rwforward/partloss.go
+++ b/internal/rwforward/partloss.go
@@ -8,6 +8,7 @@
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwrelay"
+	"ragwortwall/internal/rwroute"
 
 	"github.com/juju/errors"
 )
@@ -26,13 +27,11 @@
 	return p.events >= rwpart.SoundEvents && p.begun() && time.Since(p.begunAt) >= rwpart.SoundAfter
 }
 
-// computePartKeys returns the keys of the shared parts of the prompt, in their order.
-func (c *call) computePartKeys() []rwpart.Key {
-	keys := make([]rwpart.Key, len(c.info.SharedParts))
-	for n, part := range c.info.SharedParts {
-		keys[n] = rwpart.NewKey(c.org.Name, c.service.Name, part)
+func (c *call) setParts(parts []sharedPart) {
+	c.parts, c.partKeys = parts, make([]rwpart.Key, len(parts))
+	for n, part := range parts {
+		c.partKeys[n] = part.key
 	}
-	return keys
 }
 
 // checkParts rejects a request with a part that crashes servers of the version. It is called
@@ -73,20 +72,30 @@
 	if len(c.partKeys) == 0 || c.progress.wellUnderWay() || !c.brokenByServer(cause) {
 		return false
 	}
-	loss := rwpart.Loss{
+	loss := c.partLoss(server)
+	loss.Begun = c.progress.begun() && !errors.Is(cause, errHung) && !errors.Is(cause, errUnreachable)
+	c.countPartLoss(server, loss)
+	return true
+}
+
+// partLoss returns the loss of a server for the parts of the request.
+func (c *call) partLoss(server rwbackend.Entry) rwpart.Loss {
+	return rwpart.Loss{
 		Process: rwpart.NewProcess(server.ID, server.Incarnation), Zone: rwpart.NewZone(server.Zone), Version: rwpart.NewVersion(server.Version),
-		Request: rwpart.Request(c.fingerprint), Begun: c.progress.begun() && !errors.Is(cause, errHung) && !errors.Is(cause, errUnreachable),
+		Request: rwpart.Request(c.fingerprint),
 	}
+}
+
+func (c *call) countPartLoss(server rwbackend.Entry, loss rwpart.Loss) {
 	for n, key := range c.partKeys {
 		if c.f.Parts.RecordLoss(key, loss) {
 			c.f.Counters.increment("parts_held")
-			c.f.Log.Info("part held", "request", c.info.ID, "part", shortPartName(c.info.SharedParts[n]), "key", key.String(), "organisation", c.org.Name, "service", c.service.Name,
+			c.f.Log.Info("part held", "request", c.info.ID, "part", c.parts[n].label, "key", key.String(), "organisation", c.org.Name, "service", c.service.Name,
 				"version", server.Version, "server", server.ID, "losses", len(c.f.Parts.Get(key).Losses))
 		}
 	}
 	// Others need to know at once: each may send a request with the part to another server.
 	c.f.NotifyParts.AnnounceLosses(c.partKeys)
-	return true
 }
 
 // judgePartLoss publishes a loss that recordPartLoss counted once more, or withdraws it if the
@@ -94,6 +103,12 @@
 func (c *call) judgePartLoss(server rwbackend.Entry, ended bool, reason lossReason) {
 	if ended && reason != lossLeaving {
 		c.f.Counters.increment("part_losses_counted")
+		if reason == "" && c.route.Kind != rwroute.KindStream {
+			loss := c.partLoss(server)
+			loss.Crashed = true
+			c.countPartLoss(server, loss)
+			return
+		}
 		c.f.NotifyParts.AnnounceLosses(c.partKeys)
 		return
 	}
--- a/internal/rwforward/parts.go
+++ b/internal/rwforward/parts.go
@@ -5,6 +5,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"ragwortwall/internal/rwpart"
+	"ragwortwall/internal/rwroute"
 )
 
 // responseProgress is how far the response of one attempt has come.
@@ -31,7 +34,7 @@
 )
 
 // partNames returns the ids of the shared parts of the prompt for log lines. If there are
-// many, it leaves out those in the middle.
+// many, it leaves out those in the middle. Traits have no names.
 func (c *call) partNames() string {
 	parts := c.info.SharedParts
 	if len(parts) > maxLoggedParts {
@@ -60,3 +63,31 @@
 	const half = maxSharedParts / 2
 	return slices.Concat(parts[:half], parts[len(parts)-half:])
 }
+
+// sharedPart is something that different requests may have in common: a part of their
+// prompts, or a trait.
+type sharedPart struct {
+	key   rwpart.Key
+	label string // for log lines
+}
+
+// sharedParts returns what the request may have in common with others that crash servers:
+// the shared parts of the prompt and, unless it is a stream, its traits.
+func (c *call) sharedParts() []sharedPart {
+	var parts []sharedPart
+	for _, part := range c.info.SharedParts {
+		parts = append(parts, sharedPart{rwpart.NewKey(c.org.Name, c.service.Name, part), shortPartName(part)})
+	}
+	if c.route.Kind == rwroute.KindStream {
+		return parts
+	}
+	path, query, _ := strings.Cut(c.requestTarget(), "?")
+	target := rwpart.Target{
+		Organisation: c.org.Name, Service: c.service.Name, Method: c.r.Method, Host: c.r.Host,
+		Prefix: c.route.Prefix, Path: path, Query: query, Body: c.body,
+	}
+	for _, trait := range target.Traits() {
+		parts = append(parts, sharedPart{trait.Key, trait.Label})
+	}
+	return parts
+}
--- a/internal/rwpart/admit.go
+++ b/internal/rwpart/admit.go
@@ -41,8 +41,8 @@
 		return false, nil
 	}
 	if !due {
-		return false, rwerror.New(rwerror.KindQuarantined, "change the prompt, or contact the operators",
-			"backend servers crashed when they began a response on a part of this prompt").WithRetryAfter(retryAfter)
+		return false, rwerror.New(rwerror.KindQuarantined, "change the request, or contact the operators",
+			"backend servers crashed under requests that share a part of the prompt, path, query or body with this one").WithRetryAfter(retryAfter)
 	}
 	for _, e := range held {
 		e.trials++
--- a/internal/rwpart/doc.go
+++ b/internal/rwpart/doc.go
@@ -1,4 +1,5 @@
-// Package rwpart holds back parts of prompts that crash backend servers.
+// Package rwpart holds back parts of requests that crash backend servers, mostly parts of
+// their prompts.
 //
 // Requests share the parts of their prompts, all but the last one. The loss of a server
 // before its response was well under way counts against each of these parts: no two of the
@@ -17,6 +18,11 @@
 // one request is let through now and then, by one instance; it releases the part if a server
 // writes on it.
 //
+// Requests without a prompt have traits in place of parts: their path, its directories, the
+// parameters of the query and the body. They are known by them where a request is new each
+// time. Their responses are not seen to begin before they are whole, so the loss of a server
+// under one is strong evidence once it is judged to be a crash.
+//
 // Evidence is kept for each organisation and service. Otherwise callers of one organisation
 // could have the parts of another held, by sending them beside a part that crashes servers.
 package rwpart
--- a/internal/rwpart/finding.go
+++ b/internal/rwpart/finding.go
@@ -75,9 +75,13 @@
 	Version Version `json:"version"`
 	Request Request `json:"request"`
 	Begun   bool    `json:"begun,omitempty"` // the status and headers of the response had arrived
+	Crashed bool    `json:"crash,omitempty"` // of a request without events: the process ended, as far as can be told because of the request
 	Age     int64   `json:"age"`             // in milliseconds, when the finding was made
 }
 
+// strong reports whether the loss is laid to the request rather than to another cause.
+func (l Loss) strong() bool { return l.Begun || l.Crashed }
+
 func (l Loss) at(now time.Time) time.Time {
 	return now.Add(-time.Duration(l.Age) * time.Millisecond)
 }
--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// holdAfterBegun is the number of losses after the beginning of the response from which
-	// a part is held.
-	holdAfterBegun = 3
+	// holdAfterStrong is the number of losses that are laid to the requests from which a part
+	// is held: after the beginning of the response or, for requests without events, crashes.
+	holdAfterStrong = 3
 	// holdAfterLosses is the same for losses of all kinds, and for parts that a server of
 	// that version wrote on lately. Servers that are lost while they read a prompt are
 	// mostly lost for other reasons.
@@ -164,7 +164,7 @@
 }
 
 // Notable reports whether other instances should know of the losses of a part: there are
-// several, or one after the beginning of a response on a part that no server wrote on lately.
+// several, or one that is laid to the request, with a part that no server wrote on lately.
 func (r *Registry) Notable(part Key) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,7 +175,7 @@
 	}
 	first := e.losses[0]
 	_, sound := r.sound.lookup(soundPart{part, first.Version}, now)
-	return len(e.losses) > 1 || first.Begun && !sound
+	return len(e.losses) > 1 || first.strong() && !sound
 }
 
 // Held returns the parts that are held.
@@ -231,7 +231,7 @@
 		}
 		sameCause := (known.Zone == l.Zone || sound) && l.lostAt.Sub(known.lostAt).Abs() < sameCauseWindow
 		if known.Process == l.Process || sameCause {
-			known.Begun = known.Begun || l.Begun
+			known.Begun, known.Crashed = known.Begun || l.Begun, known.Crashed || l.Crashed
 			r.updateLocked(part, e, now)
 			return
 		}
@@ -296,18 +296,18 @@
 }
 
 func (r *Registry) crashesVersionLocked(part Key, e *entry, version Version, now time.Time) bool {
-	all, begun := 0, 0
+	all, strong := 0, 0
 	for _, l := range e.losses {
 		if l.Version != version {
 			continue
 		}
 		all++
-		if l.Begun {
-			begun++
+		if l.strong() {
+			strong++
 		}
 	}
 	_, sound := r.sound.lookup(soundPart{part, version}, now)
-	return all >= holdAfterLosses || begun >= holdAfterBegun && !sound
+	return all >= holdAfterLosses || strong >= holdAfterStrong && !sound
 }
 
 // entryLocked returns the entry of a part, and creates it if there is none. If there are too
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// loseCrashed records losses before a response that are later judged to be crashes.
+func loseCrashed(r *rwpart.Registry, servers ...int) {
+	for _, n := range servers {
+		l := loss(n)
+		l.Begun = false
+		r.RecordLoss(part, l)
+		time.Sleep(apart)
+		l.Crashed = true
+		r.RecordLoss(part, l)
+	}
+}
+
 func requireHeld(t *testing.T, r *rwpart.Registry, key rwpart.Key, version rwpart.Version, held bool) {
 	t.Helper()
 	trial, refusal := r.Admit([]rwpart.Key{key}, version)
@@ -64,6 +76,9 @@
 				time.Sleep(apart)
 			}
 		}, false},
+		"three crashes under requests without events":             {func(r *rwpart.Registry) { loseCrashed(r, 1, 2, 3) }, true},
+		"two crashes under requests without events":               {func(r *rwpart.Registry) { loseCrashed(r, 1, 2) }, false},
+		"three crashes under requests without events, sound part": {func(r *rwpart.Registry) { sound(r, part, version1); loseCrashed(r, 1, 2, 3) }, false},
 		"two servers":                 {func(r *rwpart.Registry) { lose(r, part, 1, 2) }, false},
 		"three servers":               {func(r *rwpart.Registry) { lose(r, part, 1, 2, 3) }, true},
 		"three losses of one process": {func(r *rwpart.Registry) { lose(r, part, 1, 1, 1) }, false},
