rwpoison: crashes that several instances judged quarantine a request together

Three crashes of one request quarantined it only at an instance that knew of two when it judged a third. Three instances that judged one each at the same moment merged them without looking at the bound, and the request went on until five servers were lost: with four servers, one of which each wave of attempts ends, that takes a second wave. The bound is now checked on the merged crashes.

TestCrashesJudgedApart failed before.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -101,6 +101,7 @@
 	i.exchange.Self, i.exchange.Incarnation, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.DatagramAddress
 	i.exchange.Members, i.exchange.Directory, i.exchange.Poison, i.exchange.Log = &i.members, i.directory, &i.poison, i.Log
 	i.exchange.Parts = &i.parts
+	i.poison.CrashThreshold = rwforward.QuarantineCrashes
 	i.parts.MayTry = func(part rwpart.Key) bool { return i.members.IsFirstFor(part.String()) }
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -23,12 +23,13 @@
 	// address that accepts connections has a new process. It covers the time until a
 	// server that has restarted is listed.
 	restartCheckDelay = 2 * time.Second
-	// quarantineCrashes is how many distinct servers must crash while running a
-	// request before it is quarantined. It is one more than package rwpoison requires
-	// of suspects that run alone, because here other requests run beside them.
-	quarantineCrashes = 3
 )
 
+// QuarantineCrashes is how many distinct servers must crash while running a request
+// before it is quarantined. It is one more than package rwpoison requires of suspects that
+// run alone, because here other requests run beside them.
+const QuarantineCrashes = 3
+
 // computeFingerprint returns the identity of a request across retries: it covers the
 // organisation, method, host, path, query and body. Ids of the request and of parts of
 // its prompt may be new in each attempt.
@@ -94,8 +95,7 @@
 		c.recordSuspicion("server ended while running a request", "losses_counted", server, progress, cause, c.f.Poison.RecordLoss(c.fingerprint, processName(server)))
 	}
 	if reason == "" {
-		crashes := len(c.f.Poison.Get(c.fingerprint).Servers)
-		s := c.f.Poison.Implicate(c.fingerprint, processName(server), crashes >= quarantineCrashes-1)
+		s := c.f.Poison.Implicate(c.fingerprint, processName(server), false)
 		c.recordSuspicion("server crashed while running a request", "crashes_counted", server, progress, cause, s)
 		return
 	}
--- a/internal/rwpoison/registry.go
+++ b/internal/rwpoison/registry.go
@@ -79,8 +79,13 @@
 	return suspicionTTL
 }
 
-// Registry stores the suspicions by request. The zero value is empty and ready for use.
+// Registry stores the suspicions by request. The zero value is empty and ready for use. Set
+// CrashThreshold before first use.
 type Registry struct {
+	// CrashThreshold is the number of distinct servers that must crash under a request for it
+	// to be quarantined whatever ran beside it. If 0, only crashes in isolation quarantine.
+	CrashThreshold int
+
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
 }
@@ -164,10 +169,16 @@
 	}
 	e.updatedAt = time.Now()
 	e.cleared = false
-	e.quarantined = e.quarantined || isolated && len(e.servers) >= QuarantineThreshold
+	e.quarantined = e.quarantined || isolated && len(e.servers) >= QuarantineThreshold || r.crashedEnough(e)
 	return e.suspicion(f)
 }
 
+// crashedEnough reports whether enough servers crashed under a request to quarantine it,
+// whatever ran beside it.
+func (r *Registry) crashedEnough(e *entry) bool {
+	return r.CrashThreshold > 0 && len(e.servers) >= r.CrashThreshold
+}
+
 // Get returns the suspicion of a request. A request without crashes counts as cleared.
 func (r *Registry) Get(f Fingerprint) Suspicion {
 	r.mu.Lock()
@@ -205,6 +216,7 @@
 			e.cleared = s.Cleared
 		}
 	}
+	e.quarantined = e.quarantined || r.crashedEnough(e)
 	if s.Cleared && len(s.Servers) == len(e.servers) {
 		e.cleared = true
 	}
--- a/internal/rwpoison/registry_test.go
+++ b/internal/rwpoison/registry_test.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// TestCrashesJudgedApart guards against a request that crashed enough servers to be
+// quarantined, but each of them under the eyes of another instance at the same moment.
+func TestCrashesJudgedApart(t *testing.T) {
+	servers := []string{"a", "b", "c"}
+	for name, c := range map[string]struct {
+		threshold   int
+		quarantined bool
+	}{
+		"threshold":                 {3, true},
+		"threshold not reached":     {4, false},
+		"only crashes in isolation": {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var registries []*Registry
+			var judged []Suspicion
+			for _, server := range servers {
+				r := &Registry{CrashThreshold: c.threshold}
+				judged = append(judged, r.Implicate(1, server, false))
+				registries = append(registries, r)
+			}
+			for _, r := range registries {
+				for _, s := range judged {
+					r.Merge(s)
+				}
+				require.Equal(t, c.quarantined, r.QuarantineError(1) != nil)
+				require.Len(t, r.Get(1).Servers, len(servers))
+			}
+		})
+	}
+}
+
 // TestNamesBounded guards against suspicions that grow with each server that a request
 // crashes, until they no longer fit into a notice to the other instances.
 func TestNamesBounded(t *testing.T) {
