rwbackend: a response that was on its way doesn't show that a server still runs

A server that ends breaks all its connections at once. A response of it that was still in this machine's buffers was read after the loss, counted as sent since, and the loss was dropped for good as 'responds'. Only a response to a request that was sent after the loss counts now, or an event that comes later than buffers hold it.

Two cases of TestJudgeLoss failed before ('response to an earlier request', 'event from a buffer'). The case 'responds' now comes in two, for responses and events: an event 1 ms after the loss, which it took for a sign of life, no longer is one.

--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -33,6 +33,7 @@
 	}
 	s.consecutiveLosses, s.consecutiveRefusals = 0, 0
 	s.suspectUntil, s.receivedAt = time.Time{}, time.Now()
+	s.recordAliveLocked(took)
 	s.recordResultLocked(failed)
 	if took > 0 {
 		if s.latency == 0 {
@@ -51,6 +52,23 @@
 	defer d.mu.Unlock()
 	if s, ok := d.servers[id]; ok {
 		s.receivedAt = time.Now()
+		s.recordAliveLocked(0)
+	}
+}
+
+// MaxBufferTime is how long what a server sent may wait in the buffers of this machine until
+// it is read.
+const MaxBufferTime = 200 * time.Millisecond
+
+// recordAliveLocked records that the server's process ran when it got a request that took
+// this long, or MaxBufferTime ago if that is not known. The caller must hold the lock of the
+// directory.
+func (s *Server) recordAliveLocked(took time.Duration) {
+	if took <= 0 {
+		took = MaxBufferTime
+	}
+	if at := time.Now().Add(-took); at.After(s.aliveAt) {
+		s.aliveAt = at
 	}
 }
 
@@ -145,7 +163,7 @@
 // The fates of a server's process.
 const (
 	FateUnknown  Fate = iota
-	FateResponds      // it has sent a response since
+	FateResponds      // it has sent something since that was not yet on its way
 	FateReplaced      // it has ended: a newer process runs under its id or at its address
 	FateLeaving       // it shuts down in order
 	FateUnlisted      // its entry was removed
@@ -169,7 +187,7 @@
 		return FateReplaced
 	case s.Leaving:
 		return FateLeaving
-	case s.receivedAt.After(since):
+	case s.aliveAt.After(since):
 		return FateResponds
 	}
 	return FateUnknown
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -45,6 +45,7 @@
 	consecutiveLosses   int               // counted at most once per back-off
 	lostAt              time.Time         // the last loss
 	receivedAt          time.Time         // when it last sent a response or the first event of a stream
+	aliveAt             time.Time         // the latest time at which its process is known to have run
 	probedAt            time.Time         // when it was last selected for a probe by ServersToProbe
 	leavingSince        time.Time         // when its entry first said that it is leaving
 	removed             bool              // its entry is no longer listed
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -45,7 +45,8 @@
 
 // TestJudgeLoss guards against crashes that are left out when they are judged: because the
 // request crashed several servers of a zone in a row, because the server was back already,
-// or because the loss of a server was not recorded.
+// because the loss of a server was not recorded, or because a response that was already on its
+// way is taken for a sign that the server still runs.
 func TestJudgeLoss(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -76,9 +77,21 @@
 		}, "", true, ""},
 		"accepts connections": {func(*rwbackend.Directory, *rwpoison.Registry) {}, open, false, lossAccepts},
 		"responds": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
-			time.Sleep(time.Millisecond)
+			time.Sleep(2 * time.Millisecond)
+			d.RecordResponse("s1", false, time.Millisecond, rwbackend.Load{})
+		}, "", false, lossResponds},
+		"responds with an event": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			time.Sleep(2 * rwbackend.MaxBufferTime)
 			d.RecordFirstEvent("s1")
 		}, "", false, lossResponds},
+		"response to an earlier request": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			time.Sleep(time.Millisecond)
+			d.RecordResponse("s1", false, time.Second, rwbackend.Load{})
+		}, "", true, ""},
+		"event from a buffer": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
+			time.Sleep(time.Millisecond)
+			d.RecordFirstEvent("s1")
+		}, "", true, ""},
 		"back under its id": {func(d *rwbackend.Directory, _ *rwpoison.Registry) {
 			d.Put(with(server, func(e *rwbackend.Entry) { e.Incarnation, e.Address = 2, open }))
 		}, "", true, ""},
