rwlimit: limits that servers name are kept by all instances together

Servers in need name in their responses how many requests a second they take from all instances together, and got as many as before: nothing read it, and an instance that kept to it alone would still send its part on top of those of the others.

Limits are learnt from whole responses, heads of streams and refusals, and told to the other instances. One instance owns the limit of each server and grants short leases of tokens from a bucket; the next one is its deputy, at 0.35 of the rate while others may reach the owner. Requests without a token go to the other servers, or are refused with Retry-After.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -14,6 +14,7 @@
 	"ragwortwall/internal/rwconn"
 	"ragwortwall/internal/rwfeed"
 	"ragwortwall/internal/rwforward"
+	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpeer"
@@ -84,6 +85,7 @@
 	counters  rwforward.Counters
 	poison    rwpoison.Registry
 	parts     rwpart.Registry
+	limits    rwlimit.Limiter
 	moves     moves
 	suspects  quarantines
 	members   rwpeer.Members
@@ -100,7 +102,8 @@
 	i.members.Self, i.members.Zone, i.members.Memory, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Settings.MemoryLimit, i.Log
 	i.exchange.Self, i.exchange.Incarnation, i.exchange.Address = i.Settings.Name, time.Now().UnixMilli(), i.Settings.DatagramAddress
 	i.exchange.Members, i.exchange.Directory, i.exchange.Poison, i.exchange.Log = &i.members, i.directory, &i.poison, i.Log
-	i.exchange.Parts = &i.parts
+	i.exchange.Parts, i.exchange.Limits = &i.parts, &i.limits
+	i.limits.Self, i.limits.Peers, i.limits.Count, i.limits.Log = i.Settings.Name, &i.exchange, i.counters.Increment, i.Log
 	i.poison.CrashThreshold = rwforward.QuarantineCrashes
 	i.parts.MayTry = func(part rwpart.Key) bool { return i.members.IsFirstFor(part.String()) }
 	i.moves.instance, i.suspects.instance = i, i
@@ -108,10 +111,10 @@
 	i.feeds.build(i)
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
-		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Log: i.Log},
+		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
-		Parts: &i.parts, NotifyParts: &i.exchange, ShuttingDown: i.leaving.Load, Log: i.Log, Counters: &i.counters,
+		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, Log: i.Log, Counters: &i.counters,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -219,6 +222,7 @@
 		i.pool.Sweep()
 		i.poison.Sweep()
 		i.parts.Sweep()
+		i.limits.Sweep(i.isListed)
 		if table := i.feeds.desiredState.Table(); table != nil {
 			if closed := i.callers.CloseIdle(); closed > 0 {
 				i.Log.Info("idle connections closed", "count", closed, "limit", table.Limits.IdleTime.Seconds(), "version", table.Version)
@@ -227,6 +231,12 @@
 	})
 }
 
+// isListed reports whether the list of servers has a server's process.
+func (i *Instance) isListed(s rwlimit.Server) bool {
+	e, ok := i.directory.Entry(s.ID)
+	return ok && e.Incarnation == s.Incarnation
+}
+
 // maxIdle returns how long a caller's connection may be idle; zero for no limit.
 func (i *Instance) maxIdle() time.Duration {
 	if table := i.feeds.desiredState.Table(); table != nil {
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"runtime"
 	"time"
+
+	"ragwortwall/internal/rwlimit"
 )
 
 // Paths served at Settings.MetricsAddress.
@@ -68,6 +70,8 @@
 	Committed int     `json:"committed"` // tokens
 	Backlog   int     `json:"backlog"`   // tokens
 	Failures  float64 `json:"failures"`  // failure rate as a moving average, 0 to 1
+
+	Limit *float64 `json:"limit,omitempty"` // that it names, in requests per second
 }
 
 // SuspicionDump is a request under which servers were lost in a StateDump.
@@ -101,8 +105,12 @@
 		d.HeldParts = append(d.HeldParts, PartDump{Key: part.String(), Losses: len(i.parts.Get(part).Losses)})
 	}
 	for _, s := range i.directory.All() {
+		var limit *float64
+		if named := i.limits.Limit(rwlimit.Server{ID: s.ID, Incarnation: s.Incarnation}); named.Named {
+			limit = &named.Rate
+		}
 		d.Servers = append(d.Servers, ServerDump{
-			ID: s.ID, Zone: s.Zone, Leaving: s.Leaving, Suspect: s.Suspect, Runs: s.Runs, Committed: s.Committed, Backlog: s.Backlog, Failures: s.FailureRate,
+			Limit: limit, ID: s.ID, Zone: s.Zone, Leaving: s.Leaving, Suspect: s.Suspect, Runs: s.Runs, Committed: s.Committed, Backlog: s.Backlog, Failures: s.FailureRate,
 		})
 	}
 	return d
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -71,7 +71,7 @@
 	if held && (!k.requested || now.Sub(k.lastRefresh) < copyRefreshInterval) {
 		return
 	}
-	if !held && !k.chooseTarget(s) {
+	if !s.f.Limits.Take(limitedServer(k.runServer)) || !held && !k.chooseTarget(s) {
 		return
 	}
 	k.requesting, k.lastRefresh = true, now
@@ -82,7 +82,7 @@
 // there is one in another zone than the stream's server.
 func (k *copyManager) chooseTarget(s *stream) bool {
 	servers := s.f.Directory.Service(s.service.Name)
-	engine := rwpick.EngineSize{Slots: s.service.Engine.Slots, Memory: s.service.Engine.Memory}
+	engine := s.engineSize()
 	runServer := rwbackend.View{Entry: k.runServer}
 	server, ok := rwpick.Copy(servers, engine, rwpick.Need{Prompt: s.info.Prompt, Output: s.info.MaxOutput}, runServer, func(string) bool { return false })
 	if !ok || server.Zone == k.runServer.Zone {
--- a/internal/rwforward/counters.go
+++ b/internal/rwforward/counters.go
@@ -40,6 +40,9 @@
 	latencies map[string]*hdrhistogram.Histogram
 }
 
+// Increment counts an event of another package.
+func (n *Counters) Increment(name string) { n.increment(name) }
+
 func (n *Counters) increment(name string) {
 	if n == nil {
 		return
--- a/internal/rwforward/finder.go
+++ b/internal/rwforward/finder.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlog"
 
 	"github.com/go-logr/logr"
@@ -42,6 +44,7 @@
 type HolderFinder struct {
 	Engines   EngineClient
 	Directory *rwbackend.Directory
+	Limits    *rwlimit.Limiter // servers that name one are not queried
 	Log       logr.Logger
 
 	mu       sync.Mutex
@@ -93,7 +96,7 @@
 			f.searches = map[string]*search{}
 		}
 		f.searches[service] = s
-		servers := f.Directory.Service(service)
+		servers := slices.DeleteFunc(f.Directory.Service(service), func(v rwbackend.View) bool { return f.Limits.Limit(limitedServer(v.Entry)).Named })
 		if s.burstCount > maxSearchesPerBurst || len(servers) > maxSearchedServers {
 			s.done = true
 			return s.updated, true
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -13,6 +13,7 @@
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwevidence"
+	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpoison"
@@ -77,6 +78,7 @@
 	NotifySuspicion  func(rwpoison.Suspicion) // publishes a request suspected of crashing servers
 	Parts            *rwpart.Registry
 	NotifyParts      PartNotifier
+	Limits           *rwlimit.Limiter
 	ShuttingDown     func() bool // reports whether this instance is shutting down
 	Log              logr.Logger
 	Counters         *Counters
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -102,7 +102,7 @@
 // leaveSlowServer reports whether to end a slow attempt: another server is left, and the
 // budget has a retry, which it takes. Otherwise the slow server may still answer.
 func (c *call) leaveSlowServer() bool {
-	for _, s := range c.candidateServers() {
+	for _, s := range c.readyServers() {
 		if !c.tried[s.ID] && !s.Suspect {
 			c.retryPaid = c.f.Budget.Spend(c.service.Name)
 			return c.retryPaid
@@ -140,11 +140,9 @@
 	if c.remaining() <= 0 {
 		return rwbackend.View{}, rwerror.New(rwerror.KindTimeout, "retry with a longer deadline", "the deadline of the request has passed")
 	}
-	servers := c.candidateServers()
-	server, ok := rwpick.Plain(servers, c.f.Zone, func(id string) bool { return c.tried[id] })
-	if !ok {
-		return server, rwerror.New(rwerror.KindUnavailable, "retry after the time in Retry-After",
-			"none of the %d backend servers of the service can accept the request", len(servers)).WithRetryAfter(longRetryAfter / 2)
+	server, err := c.pickWithinLimits(c.candidateServers())
+	if err != nil {
+		return server, err
 	}
 	c.tried[server.ID] = true
 	return server, nil
@@ -266,11 +264,13 @@
 	}
 	defer response.Body.Close()
 	c.progress.begunAt = time.Now()
+	reply := c.f.Wire.ParseResponse(response.StatusCode, response.Header)
+	c.observeLimit(server.Entry, response.StatusCode, reply, sentAt)
 	body, err := c.readWhole(response.Body)
 	if err != nil {
 		return serverResponse{}, err
 	}
-	return serverResponse{server: server.ID, status: response.StatusCode, header: response.Header, body: body, reply: c.f.Wire.ParseResponse(response.StatusCode, response.Header)}, nil
+	return serverResponse{server: server.ID, status: response.StatusCode, header: response.Header, body: body, reply: reply}, nil
 }
 
 // writeResponse sends a whole response to the caller.
--- a/internal/rwforward/silence.go
+++ b/internal/rwforward/silence.go
@@ -64,7 +64,7 @@
 	if !unreachable && s.attemptsMade()+1 >= s.route.Attempts {
 		return false
 	}
-	_, ok := s.chooseTarget(s.candidateServers())
+	_, ok := s.chooseTarget(s.readyServers())
 	return ok
 }
 
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -141,11 +141,14 @@
 		return attemptTarget{}, s.attemptsExhaustedError()
 	}
 	servers := s.candidateServers()
-	target, ok := s.chooseTarget(servers)
+	target, limitWait, ok := s.chooseWithinLimits(servers)
 	if !ok {
 		if s.lastErr != nil {
 			return attemptTarget{}, s.attemptsExhaustedError()
 		}
+		if limitWait > 0 {
+			return attemptTarget{}, limitError(len(servers), limitWait)
+		}
 		return attemptTarget{}, rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After",
 			"none of %d model servers has room for %d tokens in its KV cache", len(servers), s.info.Prompt+s.info.MaxOutput).WithRetryAfter(longRetryAfter / 2)
 	}
@@ -174,7 +177,7 @@
 // copy, else one that has the prompt cached, else the one that finishes prefill first. It
 // returns false if none has room.
 func (s *stream) chooseTarget(servers []rwbackend.View) (attemptTarget, bool) {
-	engine := rwpick.EngineSize{Slots: s.service.Engine.Slots, Memory: s.service.Engine.Memory}
+	engine := s.engineSize()
 	isTried := func(id string) bool { return s.tried[id] }
 	need := rwpick.Need{Prompt: s.info.Prompt, Output: s.info.MaxOutput, Prefill: s.info.Prompt}
 	if target, ok := s.copyTarget(servers, engine, need, isTried); ok {
@@ -187,6 +190,10 @@
 	return attemptTarget{server: placement.Server, placement: placement, prefillTokens: need.Prefill}, ok
 }
 
+func (s *stream) engineSize() rwpick.EngineSize {
+	return rwpick.EngineSize{Slots: s.service.Engine.Slots, Memory: s.service.Engine.Memory}
+}
+
 // timeoutError is returned if the deadline of the stream has passed.
 func (s *stream) timeoutError() error {
 	e := rwerror.New(rwerror.KindTimeout, "retry with the id of the last event", "the deadline of the stream has passed")
--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwlimit"
 )
 
 // RequestInfo holds the parsed headers of a caller's request.
@@ -43,6 +44,9 @@
 	NotRun    bool   // the server did not run the request
 	ServerID  string // id of the server that responded, not always the addressed one
 	Load      rwbackend.Load
+	Limit     rwlimit.Limit // that the server names
+
+	InvalidLimit string // its text if it can't be used; Limit then names none
 }
 
 // HeaderCodec parses and builds the headers of requests and responses.
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwversion"
@@ -31,6 +32,12 @@
 
 	Findings []rwpart.Finding `json:"findings,omitempty"` // on parts of prompts suspected of crashing servers
 
+	Limits     []rwlimit.Finding `json:"limits,omitempty"` // that servers name
+	LimitAsk   *rwlimit.Ask      `json:"want,omitempty"`   // a question to the owner of a server's limit
+	LimitGrant *rwlimit.Grant    `json:"grant,omitempty"`  // its answer
+	AskHeard   []string          `json:"heard,omitempty"`  // instances that don't answer the sender: who hears from them?
+	Heard      []string          `json:"alive,omitempty"`  // those that the sender hears from
+
 	Lacks  []int             `json:"lacks,omitempty"`  // in a hello: the parts of the answer that did not arrive; empty for all
 	For    int64             `json:"for,omitempty"`    // incarnation of the instance that is answered
 	Parts  int               `json:"parts,omitempty"`  // in an answer to a hello: of how many parts it consists
@@ -63,6 +70,7 @@
 	Directory   *rwbackend.Directory
 	Poison      *rwpoison.Registry
 	Parts       *rwpart.Registry
+	Limits      *rwlimit.Limiter // nil to exchange none
 	Moves       *rwversion.Moves
 	Log         logr.Logger
 
@@ -168,6 +176,7 @@
 		x.mergeSuspicion(n.From, s)
 	}
 	x.mergeParts(n)
+	x.handleLimits(n)
 	x.handleStart(n)
 }
 
