rwpart: held traits are tried soon and in turn; soak with limits and reads that crash servers

Sound requests beside a read that crashes servers get the same losses. The first trial of a trait now comes 1.5 to 4.5 s after the hold, at a time of its own, and instances that come later try if the first doesn't. Losses after the hold count as trials of others.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,12 @@
 SOAK_PARTS := --seed 3301 --length 12s --parts
 # Stops and changes of settings only, so that hardly any cut request is excused.
 SOAK_PLANNED := --seed 92001 --length 10s --planned
+# With servers that name limits, beside reads that crash servers and without other faults.
+SOAK_LIMITS := --seed 5203 --length 14s --limits --reads
+SOAK_LIMITS_PLANNED := --seed 5302 --length 14s --limits --planned
+
+# Two runs at a time, so that they take less than two minutes.
+SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)"
 
 .PHONY: build demo demo-platform test unit prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
@@ -40,11 +46,7 @@
 	@mkdir -p out
 	$(BIN)/rwdemo >out/demo.txt 2>&1 || (cat out/demo.txt; exit 1)
 	@cat out/demo.txt
-	$(BIN)/rwsoak $(SOAK_SEEDS) --logs out/soak-ci
-	$(BIN)/rwsoak $(SOAK_FOUND) --logs out/soak-ci
-	$(BIN)/rwsoak $(SOAK_POISON) --logs out/soak-ci
-	$(BIN)/rwsoak $(SOAK_PARTS) --logs out/soak-ci
-	$(BIN)/rwsoak $(SOAK_PLANNED) --logs out/soak-ci
+	printf '%s\n' $(SOAK_RUNS) | xargs -P 2 -L 1 $(BIN)/rwsoak --logs out/soak-ci
 
 # Runs the commands of KNOWN-RED.txt, which list known failures that are not fixed
 # yet, and prints their results. Only these commands may fail.
--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -28,6 +28,8 @@
 	Poison    bool          `long:"poison" description:"also send a request that crashes each server that runs it, and check that it is kept from the servers"`
 	Planned   bool          `long:"planned" description:"inject no faults but graceful stops of instances and drains of servers, beside silent servers and changes of settings"`
 	Parts     bool          `long:"parts" description:"also send different requests with a part of a prompt that crashes each server that begins a response on it, and check that they are kept from the servers and that requests with the same other parts are served"`
+	Reads     bool          `long:"reads" description:"also send reads without a prompt that crash each server that runs them, with a new query each time, and check that they are kept from the servers"`
+	Limits    bool          `long:"limits" description:"have servers name limits on the requests that they take, change and end them, and check that they get no more"`
 	Measure   bool          `long:"measure" description:"instead of the soak, measure a series of loads one after the other, starting with a baseline without faults"`
 }
 
@@ -94,7 +96,7 @@
 // guarantee held. It removes the folder with the logs only if all held.
 func (o options) runSeed(ctx context.Context, seed uint64) bool {
 	folder := filepath.Join(o.Logs, fmt.Sprint(seed))
-	soak := &rwsoak.Soak{Program: o.Program, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, PlannedOnly: o.Planned}
+	soak := &rwsoak.Soak{Program: o.Program, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, PlannedOnly: o.Planned}
 	report, err := soak.Run(ctx)
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -105,7 +105,7 @@
 	i.exchange.Parts, i.exchange.Limits = &i.parts, &i.limits
 	i.limits.Self, i.limits.Peers, i.limits.Count, i.limits.Log = i.Settings.Name, &i.exchange, i.counters.Increment, i.Log
 	i.poison.CrashThreshold = rwforward.QuarantineCrashes
-	i.parts.MayTry = func(part rwpart.Key) bool { return i.members.IsFirstFor(part.String()) }
+	i.parts.TrialRank = func(part rwpart.Key) int { return i.members.RankFor(part.String()) }
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
--- a/internal/rwforward/partloss.go
+++ b/internal/rwforward/partloss.go
@@ -82,7 +82,7 @@
 func (c *call) partLoss(server rwbackend.Entry) rwpart.Loss {
 	return rwpart.Loss{
 		Process: rwpart.NewProcess(server.ID, server.Incarnation), Zone: rwpart.NewZone(server.Zone), Version: rwpart.NewVersion(server.Version),
-		Request: rwpart.Request(c.fingerprint),
+		Request: rwpart.Request(c.fingerprint), Plain: c.route.Kind != rwroute.KindStream,
 	}
 }
 
@@ -103,8 +103,7 @@
 func (c *call) judgePartLoss(server rwbackend.Entry, ended bool, reason lossReason) {
 	if ended && reason != lossLeaving {
 		c.f.Counters.increment("part_losses_counted")
-		if reason == "" && c.route.Kind != rwroute.KindStream {
-			loss := c.partLoss(server)
+		if loss := c.partLoss(server); reason == "" && loss.Plain {
 			loss.Crashed = true
 			c.countPartLoss(server, loss)
 			return
--- a/internal/rwpart/admit.go
+++ b/internal/rwpart/admit.go
@@ -1,6 +1,7 @@
 package rwpart
 
 import (
+	"slices"
 	"time"
 
 	"ragwortwall/internal/rwerror"
@@ -10,12 +11,49 @@
 // next. The last one repeats. Each trial may crash one more server.
 var trialIntervals = []time.Duration{30 * time.Second, 5 * time.Minute, 25 * time.Minute, HoldLife}
 
+// Instances try a held part in turn, as one that comes earlier may be gone or have no request
+// with the part. A turn covers the time until others know of a crash.
+const (
+	trialTurn      = 3 * time.Second
+	plainTrialTurn = 500 * time.Millisecond
+)
+
+func (e *entry) trialTurn() time.Duration {
+	if e.plain() {
+		return plainTrialTurn
+	}
+	return trialTurn
+}
+
+// plain reports whether the part is a trait of requests without events.
+func (e *entry) plain() bool {
+	return slices.ContainsFunc(e.losses, func(l recordedLoss) bool { return l.Plain })
+}
+
 // minRetryAfter is sent to callers when a trial is due at another instance.
 const minRetryAfter = 5 * time.Second
 
-// delayTrial sets when the next trial may be.
-func (e *entry) delayTrial(now time.Time) {
-	e.trialAt = now.Add(trialIntervals[min(e.trials, len(trialIntervals)-1)])
+// plainTrialIntervals are those for requests without events. Servers that they crash run other
+// requests beside them, which have traits of their own: the first trial soon tells them apart.
+var plainTrialIntervals = []time.Duration{1500 * time.Millisecond, 10 * time.Second, time.Minute, HoldLife}
+
+// holdSettleTime is the time after the beginning of a hold in which losses are taken for those
+// of requests that were sent before it.
+const holdSettleTime = time.Second
+
+// delayTrial sets when the next trial may be. Traits that were held together are tried one
+// after the other, as a crash under one of them would count for those beside it.
+func (e *entry) delayTrial(part Key, now time.Time) {
+	intervals := trialIntervals
+	if e.plain() {
+		intervals = plainTrialIntervals
+	}
+	interval := intervals[min(e.trials, len(intervals)-1)]
+	if e.plain() {
+		const steps = 64
+		interval += 2 * interval * time.Duration(part%steps) / steps
+	}
+	e.trialAt = now.Add(interval)
 }
 
 // Admit returns an error if a request with the parts must not be sent to a server of the
@@ -25,28 +63,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	var held []*entry
-	due := true
-	retryAfter := minRetryAfter
+	var held map[Key]*entry
+	var first Key // of those held; all instances judge by the same one who tries
+	retryAfter, overdue := minRetryAfter, HoldLife
 	for _, part := range parts {
 		if !r.heldForLocked(part, version, now) {
 			continue
 		}
 		e := r.entries[part]
-		held = append(held, e)
-		due = due && !now.Before(e.trialAt) && (r.MayTry == nil || r.MayTry(part))
-		retryAfter = max(retryAfter, e.trialAt.Sub(now))
+		if held == nil {
+			held, first = map[Key]*entry{}, part
+		}
+		first = min(first, part)
+		held[part] = e
+		retryAfter, overdue = max(retryAfter, e.trialAt.Sub(now)), min(overdue, now.Sub(e.trialAt))
 	}
 	if len(held) == 0 {
 		return false, nil
 	}
-	if !due {
+	if overdue < 0 || r.TrialRank != nil && overdue < time.Duration(r.TrialRank(first))*r.entries[first].trialTurn() {
 		return false, rwerror.New(rwerror.KindQuarantined, "change the request, or contact the operators",
 			"backend servers crashed under requests that share a part of the prompt, path, query or body with this one").WithRetryAfter(retryAfter)
 	}
-	for _, e := range held {
+	for part, e := range held {
 		e.trials++
-		e.delayTrial(now)
+		e.trying = true
+		e.delayTrial(part, now)
 	}
 	return true, nil
 }
--- a/internal/rwpart/finding.go
+++ b/internal/rwpart/finding.go
@@ -75,7 +75,8 @@
 	Version Version `json:"version"`
 	Request Request `json:"request"`
 	Begun   bool    `json:"begun,omitempty"` // the status and headers of the response had arrived
-	Crashed bool    `json:"crash,omitempty"` // of a request without events: the process ended, as far as can be told because of the request
+	Plain   bool    `json:"plain,omitempty"` // the request has no events, but one whole response
+	Crashed bool    `json:"crash,omitempty"` // and the process ended because of it, as far as can be told
 	Age     int64   `json:"age"`             // in milliseconds, when the finding was made
 }
 
--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -37,11 +37,11 @@
 )
 
 // Registry holds the evidence on parts. The zero value is empty and ready for use. Set
-// MayTry before first use.
+// TrialRank before first use.
 type Registry struct {
-	// MayTry reports whether this instance is the one that tries a held part. If nil, it
-	// always is.
-	MayTry func(Key) bool
+	// TrialRank returns how many instances come before this one when a held part is to be
+	// tried. If nil, none do.
+	TrialRank func(Key) int
 
 	mu      sync.Mutex
 	entries map[Key]*entry    // parts with losses
@@ -54,7 +54,8 @@
 	losses    []recordedLoss
 	updatedAt time.Time // of the last loss
 	heldSince time.Time // zero if the part is not held
-	trials    int       // requests that were let through since
+	trials    int       // requests that were let through since, at all instances
+	trying    bool      // this instance let the latest one through, and no loss followed yet
 	trialAt   time.Time // when the next one may be
 }
 
@@ -247,7 +248,11 @@
 		e.updatedAt = l.lostAt
 	}
 	if e.held() {
-		e.delayTrial(now)
+		if !e.trying && now.Sub(e.heldSince) > holdSettleTime {
+			e.trials++ // of another instance
+		}
+		e.trying = false
+		e.delayTrial(part, now)
 	}
 	r.updateLocked(part, e, now)
 }
@@ -279,7 +284,7 @@
 	switch held := r.crashesLocked(part, e, now); {
 	case held && !e.held():
 		e.heldSince, e.trials = now, 0
-		e.delayTrial(now)
+		e.delayTrial(part, now)
 	case !held:
 		e.heldSince = time.Time{}
 	}
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -179,19 +179,20 @@
 func TestTrial(t *testing.T) {
 	const hour = 3600
 	for name, c := range map[string]struct {
-		mayTry    bool
+		rank      int // instances that come before
 		soundFrom int // second from which servers stay alive
 		maxTrials int
 		released  bool
 	}{
-		"sound again":         {true, 20, 1, true},
-		"crashes all along":   {true, hour, 3, false},
-		"tried by others":     {false, 0, 0, false},
-		"sound after minutes": {true, 100, 2, true},
+		"sound again":              {0, 20, 1, true},
+		"crashes all along":        {0, hour, 3, false},
+		"tried by others":          {hour, 0, 0, false},
+		"sound after minutes":      {0, 100, 2, true},
+		"the first instances gone": {5, 20, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := rwpart.Registry{MayTry: func(rwpart.Key) bool { return c.mayTry }}
+				r := rwpart.Registry{TrialRank: func(rwpart.Key) int { return c.rank }}
 				lose(&r, part, 1, 2, 3)
 				trials := 0
 				for second := range hour {
@@ -215,6 +216,31 @@
 	}
 }
 
+// TestTrialsOfOthers guards against instances that each try a held part as often as one may.
+func TestTrialsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const minutes = 10
+		fleet := make([]rwpart.Registry, 3)
+		for n := range fleet {
+			fleet[n].TrialRank = func(rwpart.Key) int { return n }
+			lose(&fleet[n], part, 1, 2, 3)
+		}
+		trials := 0
+		for second := range minutes * 60 {
+			for n := range fleet {
+				if trial, _ := fleet[n].Admit([]rwpart.Key{part}, version1); trial {
+					trials++
+					for k := range fleet {
+						fleet[k].RecordLoss(part, loss(second+10))
+					}
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 2, trials, "after 30 s and 5 minutes")
+	})
+}
+
 // TestPartsTogether guards against parts that always come together with one that crashes
 // servers and are taken for sound.
 func TestPartsTogether(t *testing.T) {
--- a/internal/rwpeer/parts.go
+++ b/internal/rwpeer/parts.go
@@ -135,14 +135,15 @@
 	}
 }
 
-// IsFirstFor reports whether this instance ranks first of all that it knows for a key, so
-// that one of them acts on it.
-func (m *Members) IsFirstFor(key string) bool {
+// RankFor returns how many instances come before this one, of all that it knows, in the order
+// in which they act on a key.
+func (m *Members) RankFor(key string) int {
 	own := xxhash.Sum64String(key + "/" + m.Self)
+	rank := 0
 	for _, other := range m.Others() {
 		if xxhash.Sum64String(key+"/"+other.Name) < own {
-			return false
+			rank++
 		}
 	}
-	return true
+	return rank
 }
--- a/internal/rwservice/proxy_test.go
+++ b/internal/rwservice/proxy_test.go
@@ -74,6 +74,12 @@
 // serveTimes is serve for a call that is repeated under new idempotency keys. It returns
 // the last answer.
 func serveTimes(t *testing.T, times int, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
+	t.Helper()
+	return serveTargets(t, slices.Repeat([]string{"/orders/new?x=1"}, times), method, handlers...)
+}
+
+// serveTargets is serveTimes for calls with the given targets.
+func serveTargets(t *testing.T, targets []string, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
 	t.Helper()
 	s, l := &service{}, &ledger{}
 	team := rwtree.Team{Servers: map[string]rwtree.Server{}, Routes: map[string]rwtree.Route{}}
@@ -123,8 +129,8 @@
 	named, ok := tree.Route("team/orders")
 	require.True(t, ok)
 	var w *httptest.ResponseRecorder
-	for n := range times {
-		request := httptest.NewRequest(method, "/orders/new?x=1", strings.NewReader("order"))
+	for n, target := range targets {
+		request := httptest.NewRequest(method, target, strings.NewReader("order"))
 		request.Header.Set("Idempotency-Key", fmt.Sprint("k", n))
 		request.Header.Set("Authorization", "Bearer secret")
 		request.Header.Set("Connection", "close")
@@ -241,6 +247,18 @@
 	})
 }
 
+// TestCrashingCallHeld guards against a call that crashes each server that runs it and is not
+// recognised, because its query is new each time.
+func TestCrashingCallHeld(t *testing.T) {
+	const calls = 12
+	var targets []string
+	for n := range calls {
+		targets = append(targets, fmt.Sprint("/orders/new?at=", n))
+	}
+	_, s, _ := serveTargets(t, targets, http.MethodGet, slices.Repeat([]http.HandlerFunc{crash}, calls)...)
+	require.LessOrEqual(t, len(s.calls), rwpoison.MaxLosses)
+}
+
 // TestEndlessBody guards against answers that are cut at the limit and look whole.
 func TestEndlessBody(t *testing.T) {
 	endless := func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/rwsoak/poison.go
+++ b/internal/rwsoak/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -42,11 +43,7 @@
 			defer c.HTTP.CloseIdleConnections()
 			for ctx.Err() == nil {
 				sendCtx, cancel := context.WithTimeout(ctx, poisonTimeout)
-				_, _ = c.Send(sendCtx, method, s.fleet.CrashPath, "5a1c", func(id string) {
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					s.poisonSentTo[id] = i.Name
-				})
+				s.sendPoisonTo(sendCtx, c, method, i.Name)
 				cancel()
 				select {
 				case <-ctx.Done():
@@ -58,6 +55,20 @@
 	running.Wait()
 }
 
+// sendPoisonTo sends the request once, to the instance of the given name.
+func (s *Soak) sendPoisonTo(ctx context.Context, c *standin.Caller, method, instance string) {
+	record := func(id string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.poisonSentTo[id] = instance
+	}
+	if s.Reads {
+		_, _ = c.SendPlain(ctx, method, fmt.Sprintf("%s?at=%d", s.fleet.CrashPath, time.Now().UnixNano()), record)
+		return
+	}
+	_, _ = c.Send(ctx, method, s.fleet.CrashPath, "5a1c", record)
+}
+
 // checkPoison checks that the request was kept from the servers once it was known.
 func (s *Soak) checkPoison() {
 	s.report.Crashes = len(s.fleet.Crashes())
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -28,6 +28,8 @@
 	ModelsPerZone int  // model servers in each zone
 	Poison        bool // a request that crashes each server that runs it is sent all the while
 	PlannedOnly   bool // no faults but graceful stops of instances and drains of servers
+	Limits        bool // servers name limits on the requests that they take
+	Reads         bool // Poison with reads without a prompt that have a new query each time
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
 
 	store          standin.Store
@@ -49,6 +51,8 @@
 	partRequests   []sentRequest // with the part that crashes servers
 	soundRequests  []sentRequest // beside them
 	configuration  standin.Configuration
+	limitSentTo    map[string]string // names of instances, by id of the requests of sendLimitReads
+	limitedServers []*standin.Server // that named a limit
 }
 
 // Report is the result of a soak run.
@@ -91,6 +95,7 @@
 // setup fails; violated guarantees are in the report.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.report.Seed, s.report.Logs, s.reportedNotRun, s.poisonSentTo = s.Seed, s.Logs, map[string]bool{}, map[string]string{}
+	s.limitSentTo = map[string]string{}
 	if err := os.MkdirAll(s.Logs, 0o750); err != nil {
 		return s.report, err
 	}
@@ -115,6 +120,10 @@
 	if s.Parts {
 		running.Go(func() { s.sendParts(callers) })
 	}
+	if s.Limits {
+		running.Go(func() { s.sendLimitReads(callers) })
+		running.Go(func() { s.changeLimits(callers) })
+	}
 	running.Go(func() { s.runKept(callers) })
 	s.injectFaults(ctx)
 	s.checkRecovery(ctx)
@@ -123,6 +132,7 @@
 	s.checkOrders()
 	s.checkPoison()
 	s.checkParts()
+	s.checkLimits()
 	s.checkCuts()
 	return s.report, nil
 }
@@ -147,9 +157,12 @@
 			return err
 		}
 	}
-	if s.Poison {
+	if s.Poison || s.Reads {
 		s.fleet.CrashPath, s.fleet.RestartDelay = []string{poisonPath, poisonDraftPath}[s.Seed%2], poisonDownTime
 	}
+	if s.Reads {
+		s.Poison, s.fleet.CrashPath = true, poisonPath
+	}
 	if s.Parts {
 		s.fleet.CrashPart, s.fleet.RestartDelay = crashPart, poisonDownTime
 	}
