--- a/internal/rwsoak/doc.go
+++ b/internal/rwsoak/doc.go
@@ -16,7 +16,8 @@
 //     got it, also while the instance shuts down, unless a fault interrupts it;
 //   - at least half of the callers are served after all faults have ended;
 //   - a request, or a part of a prompt, that crashes servers is kept from them once it is
-//     known, and sound requests with the same other parts are served.
+//     known, and sound requests with the same other parts are served;
+//   - a server that names a limit gets no more requests from instances in touch.
 //
 // The schedule of faults depends only on the seed and the duration.
 package rwsoak
--- a/internal/rwsoak/poison.go
+++ b/internal/rwsoak/poison.go
@@ -13,7 +13,8 @@
 )
 
 // Terms of the users' rule on requests that crash servers: after the third crash and
-// contactTime for it to become known, at most maxLateRetries may reach a server. Only
+// contactTime for it to become known, at most maxLateRetries may reach a server. A silent
+// server may crash long after the request has reached it. Only
 // retries by instances in touch count: that had no fault, and no start, for contactTime
 // before, while the store had none either.
 const (
@@ -77,13 +78,15 @@
 		return
 	}
 	late := 0
-	for _, c := range crashes {
-		if c.At.Sub(crashes[2].At) > contactTime && s.inTouch(s.poisonSentTo[c.Request], c.At) {
-			late++
+	for id, instance := range s.poisonSentTo {
+		for _, arrival := range s.fleet.Record(id).Arrivals {
+			if arrival.At.Sub(crashes[2].At) > contactTime && s.inTouch(instance, arrival.At) {
+				late++
+			}
 		}
 	}
 	if late > maxLateRetries {
-		s.addViolation("instances in touch sent a request that crashes servers to %d of them later than %s after the third crash; %d crashed in all", late, contactTime, len(crashes))
+		s.addViolation("instances in touch sent a request that crashes servers to them %d times later than %s after the third crash; %d crashed in all", late, contactTime, len(crashes))
 	}
 }
 
