rwlimit: a question without an answer sends callers away for a second at most

Wait returned the longest time between two questions, 5 s, when the owner of a limit did not answer in time. Callers leave before that. TestWaitWithoutAnswer failed before (5 s).

--- a/internal/rwlimit/limiter.go
+++ b/internal/rwlimit/limiter.go
@@ -58,8 +58,8 @@
 }
 
 const (
-	// askTimeouts are the waits for the answer to each sending of a question. Datagrams get
-	// lost, and instances are busy for some time.
+	// firstAskTimeout and secondAskTimeout are the waits for the answer to a question, which is
+	// sent twice. Datagrams get lost, and instances are busy for some time.
 	firstAskTimeout  = 40 * time.Millisecond
 	secondAskTimeout = 80 * time.Millisecond
 	// maxAsked is how many instances are asked one after the other.
@@ -85,6 +85,9 @@
 	// endedLife is how long it is remembered that a limit has ended, in case older evidence
 	// arrives late.
 	endedLife = 10 * time.Second
+	// maxRetryWait bounds the wait that is returned to callers, who may leave before a longer
+	// one is over. It also holds if no answer came.
+	maxRetryWait = time.Second
 	// maxWant bounds the tokens of one question.
 	maxWant = 256
 )
@@ -267,7 +270,7 @@
 // Wait asks for tokens of several servers and takes the first that it gets. If there is none
 // it returns false and when one may be there, soon after which is known.
 func (l *Limiter) Wait(ctx context.Context, servers []Server, u Urgency) (s Server, wait time.Duration, ok bool) {
-	shortest := maxAskWait
+	shortest := maxRetryWait
 	for _, s := range servers {
 		answered := l.startAsking(s, u)
 		if answered != nil {
--- a/internal/rwlimit/limiter_test.go
+++ b/internal/rwlimit/limiter_test.go
@@ -1,6 +1,7 @@
 package rwlimit_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,3 +101,24 @@
 	require.Less(t, served(rwlimit.Urgency{Repeat: true}), equal)
 	require.Less(t, served(rwlimit.Urgency{Priority: 4}), equal)
 }
+
+// deaf is the connection of an instance whose questions get no answer.
+type deaf struct{ alone }
+
+func (deaf) Rank(string) []string { return []string{"owner", "self"} }
+
+// TestWaitWithoutAnswer guards against callers that are sent away for longer than they stay,
+// because the owner of a limit doesn't answer.
+func TestWaitWithoutAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter()
+		l.Peers = deaf{}
+		l.Observe(limited, rwlimit.Limit{Rate: 1, Named: true}, time.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, wait, ok := l.Wait(ctx, []rwlimit.Server{limited}, rwlimit.Urgency{})
+		require.False(t, ok)
+		require.LessOrEqual(t, wait, time.Second)
+		time.Sleep(time.Second)
+	})
+}
