rwsettings, rwoperate: settings survive a platform that comes back from an older copy

Operators saw: a change that was accepted wasn't in force at instances that started later, and further changes were refused with a conflict for good (409), or accepted on the older state.

Now writers count generations themselves, from what is in force, and a revision is (generation, hash of the spec) in the tree, its digest and between peers. Watchers write lost settings again. The stand-in platform can copy and restore its contents.

--- a/internal/rwmove/decider.go
+++ b/internal/rwmove/decider.go
@@ -268,7 +268,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.Mover.Editor.Put(ctx, rwoperate.Change{Name: move.Team(), Spec: spec, Generation: o.Metadata.Generation, Author: d.Mover.Self})
+	_, err = d.Mover.Editor.Put(ctx, rwoperate.Change{Name: move.Team(), Spec: spec, Generation: o.Generation(), Author: d.Mover.Self})
 	return err
 }
 
--- a/internal/rwobject/object.go
+++ b/internal/rwobject/object.go
@@ -3,7 +3,11 @@
 package rwobject
 
 import (
+	"bytes"
 	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 )
@@ -28,6 +32,11 @@
 // effect.
 const AnnotationNonce = "ragwortwall/nonce"
 
+// AnnotationGeneration is the annotation with the generation that the writer of a
+// settings object counted. The platform counts metadata.generation itself, and gives out
+// the same numbers again when it comes back from an older copy of its contents.
+const AnnotationGeneration = "ragwortwall/generation"
+
 // Object is one object of the platform's API.
 type Object struct {
 	metav1.TypeMeta
@@ -74,16 +83,41 @@
 }
 
 // WithNonce returns a copy with a writer's nonce.
-func (o Object) WithNonce(nonce string) Object {
+func (o Object) WithNonce(nonce string) Object { return o.withAnnotation(AnnotationNonce, nonce) }
+
+func (o Object) withAnnotation(name, value string) Object {
 	annotations := make(map[string]string, len(o.Metadata.Annotations)+1)
 	for k, v := range o.Metadata.Annotations {
 		annotations[k] = v
 	}
-	annotations[AnnotationNonce] = nonce
+	annotations[name] = value
 	o.Metadata.Annotations = annotations
 	return o
 }
 
+// WithGeneration returns a copy with the generation that its writer counted.
+func (o Object) WithGeneration(generation int64) Object {
+	return o.withAnnotation(AnnotationGeneration, strconv.FormatInt(generation, 10))
+}
+
+// Generation returns the generation of the object's spec: the one that its writer
+// counted, or metadata.generation if that is higher, as after a write that bypassed
+// ragwortwall.
+func (o Object) Generation() int64 {
+	counted, _ := strconv.ParseInt(o.Metadata.Annotations[AnnotationGeneration], 10, 64) // zero if absent
+	return max(counted, o.Metadata.Generation)
+}
+
+// Revision returns the revision of the object's spec.
+func (o Object) Revision() Revision {
+	spec := o.Spec
+	var compact bytes.Buffer
+	if json.Compact(&compact, spec) == nil {
+		spec = compact.Bytes()
+	}
+	return Revision{Generation: o.Generation(), Content: xxhash.Sum64(spec)}
+}
+
 // Nonce returns the nonce of the object's last write, or "" if it has none.
 func (o Object) Nonce() string { return o.Metadata.Annotations[AnnotationNonce] }
 
--- a/internal/rwoperate/editor.go
+++ b/internal/rwoperate/editor.go
@@ -10,16 +10,23 @@
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwplatform"
 	"ragwortwall/internal/rwtree"
+
+	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 )
 
 // maxEarlierVersions is the maximum number of earlier specs that an object's status holds.
 const maxEarlierVersions = 5
 
+// restoreAuthor is the author in the history of settings that the platform had lost and an
+// instance wrote again. Their operator's name is only in the history that was lost.
+const restoreAuthor = "restored"
+
 // Settings gives access to the settings tree in force at this instance.
 type Settings interface {
 	Tree() rwtree.Tree
 	ApplyNewer(objects ...rwobject.Object) []rwobject.Object
 	Push(ctx context.Context, objects ...rwobject.Object)
+	FetchFromPeers(ctx context.Context)
 }
 
 // Editor applies operators' changes. Set the fields before first use.
@@ -55,18 +62,25 @@
 // Put validates a change, writes it to the platform, applies it at this instance
 // and pushes it to the others. It returns the stored object. A change that is based
 // on another generation than the current one is an error of kind conflict.
+//
+// Current is what the platform has, or what is in force if that is newer: the platform
+// may have come back from an older copy.
 func (e *Editor) Put(ctx context.Context, c Change) (rwobject.Object, error) {
+	e.Settings.FetchFromPeers(ctx)
 	current, err := e.readCurrent(ctx, c.Name)
 	if err != nil {
 		return rwobject.Object{}, err
 	}
-	if current.Metadata.Generation != c.Generation {
+	if inForce, ok := e.Settings.Tree().Object(c.Name); ok && current.Revision().Before(inForce.Revision()) {
+		current = e.replace(current, inForce.Spec, inForce.Generation(), restoreAuthor)
+	}
+	if current.Generation() != c.Generation {
 		return rwobject.Object{}, conflictError(current, c)
 	}
-	next, err := e.prepare(current, c)
-	if err != nil {
+	if err := e.validate(c); err != nil {
 		return rwobject.Object{}, err
 	}
+	next := e.replace(current, c.Spec, current.Generation()+1, c.Author)
 	stored, err := rwplatform.WriteConditionally(ctx, e.Store, next)
 	if rwerror.Is(err, rwerror.KindConflict) {
 		return rwobject.Object{}, conflictError(stored, c)
@@ -92,30 +106,46 @@
 // than the current one. It contains the current spec.
 func conflictError(current rwobject.Object, c Change) error {
 	return rwerror.New(rwerror.KindConflict, "read the subtree again, apply your change to it, and put it with the generation that you read",
-		"%s has generation %d, not %d; its current spec is: %s", c.Name, current.Metadata.Generation, c.Generation, current.Spec)
+		"%s has generation %d, not %d; its current spec is: %s", c.Name, current.Generation(), c.Generation, current.Spec)
 }
 
-// prepare returns the object with the changed spec and with the current spec added to
-// its history. It fails if the resulting tree is invalid.
-func (e *Editor) prepare(current rwobject.Object, c Change) (rwobject.Object, error) {
-	next := current
-	next.Spec = c.Spec
-	tree, err := e.Settings.Tree().With(next)
-	if err != nil {
-		return next, err
+// Restore writes an object in force to the platform if that has an older revision or none.
+// It returns the object as stored, or without an error the zero Object if there was
+// nothing to restore.
+func (e *Editor) Restore(ctx context.Context, inForce rwobject.Object) (rwobject.Object, error) {
+	stored, err := e.readCurrent(ctx, inForce.Metadata.Name)
+	if err != nil || !stored.Revision().Before(inForce.Revision()) {
+		return rwobject.Object{}, err
+	}
+	restored, err := rwplatform.WriteConditionally(ctx, e.Store, e.replace(stored, inForce.Spec, inForce.Generation(), restoreAuthor))
+	if rwerror.Is(err, rwerror.KindConflict) {
+		return rwobject.Object{}, nil // another writer was first; the next list shows whether it restored the object
 	}
-	if err := tree.CheckUniqueKeys(); err != nil {
-		return next, err
+	return restored, err
+}
+
+// validate checks the tree that a change results in.
+func (e *Editor) validate(c Change) error {
+	tree, err := e.Settings.Tree().With(rwobject.Object{Metadata: metav1.ObjectMeta{Name: c.Name}, Spec: c.Spec})
+	if err != nil {
+		return err
 	}
-	h := e.decodeHistory(current)
-	if current.Metadata.Generation > 0 {
-		earlier := Version{Generation: current.Metadata.Generation, At: h.At, Operator: h.Author, Spec: current.Spec}
+	return tree.CheckUniqueKeys()
+}
+
+// replace returns the object with another spec and generation, and with its own spec added
+// to its history.
+func (e *Editor) replace(o rwobject.Object, spec json.RawMessage, generation int64, author string) rwobject.Object {
+	h := e.decodeHistory(o)
+	if o.Generation() > 0 {
+		earlier := Version{Generation: o.Generation(), At: h.At, Operator: h.Author, Spec: o.Spec}
 		h.Earlier = append([]Version{earlier}, h.Earlier...)
 	}
 	h.Earlier = h.Earlier[:min(maxEarlierVersions, len(h.Earlier))]
-	h.Author = c.Author
+	h.Author = author
 	h.At = time.Now().UTC()
-	return next.WithStatus(h), nil
+	o.Spec = spec
+	return o.WithGeneration(generation).WithStatus(h)
 }
 
 func (e *Editor) decodeHistory(o rwobject.Object) history {
@@ -132,7 +162,7 @@
 		return nil, err
 	}
 	h := e.decodeHistory(o)
-	current := Version{Generation: o.Metadata.Generation, At: h.At, Operator: h.Author, Spec: o.Spec}
+	current := Version{Generation: o.Generation(), At: h.At, Operator: h.Author, Spec: o.Spec}
 	return append([]Version{current}, h.Earlier...), nil
 }
 
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -101,6 +101,7 @@
 // initComponents builds the components that depend on the shared clients and state.
 func (i *Instance) initComponents(engines *rwengine.Client) {
 	i.editor = &rwoperate.Editor{Store: i.platform, Settings: i.settings}
+	i.settings.Restorer = i.editor
 	i.mover = &rwmove.Mover{
 		Self:      i.Config.Name,
 		Tree:      i.settings.Tree,
--- a/internal/rwserve/operators.go
+++ b/internal/rwserve/operators.go
@@ -134,7 +134,7 @@
 	if !ok {
 		return nil, rwerror.New(rwerror.KindNotFound, "list the subtrees at /settings", "subtree %q does not exist", name)
 	}
-	return Subtree{Name: name, Generation: o.Metadata.Generation, Spec: o.Spec}, nil
+	return Subtree{Name: name, Generation: o.Generation(), Spec: o.Spec}, nil
 }
 
 // owningTeam returns the subtree that an operator must be allowed to change in order
@@ -167,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Subtree{Name: name, Generation: written.Metadata.Generation}, nil
+	return Subtree{Name: name, Generation: written.Generation()}, nil
 }
 
 func (i *Instance) settingsHistory(ctx iris.Context, op operator) (any, error) {
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Subtree{Name: name, Generation: written.Metadata.Generation}, nil
+	return Subtree{Name: name, Generation: written.Generation()}, nil
 }
 
 // SettingsStatus lists the generations of the settings that an instance applies, or the
--- a/internal/rwsettings/follower.go
+++ b/internal/rwsettings/follower.go
@@ -15,6 +15,7 @@
 	"ragwortwall/internal/rwtime"
 	"ragwortwall/internal/rwtree"
 	"ragwortwall/internal/rwwire"
+	"ragwortwall/pkg/rwset"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -28,6 +29,7 @@
 	maxRetryDelay     = 3 * time.Second
 	pushTimeout       = 700 * time.Millisecond
 	relistInterval    = 30 * time.Second
+	maxFetchPeers     = 3
 )
 
 // Platform is the part of the platform's API that the follower needs.
@@ -36,18 +38,26 @@
 	Watch(ctx context.Context, kind rwobject.Kind, revision string, visit func(rwobject.Event) error) error
 }
 
+// Restorer writes settings in force again that the platform has lost. It returns the
+// object as stored, or without an error the zero Object if the platform has it.
+type Restorer interface {
+	Restore(ctx context.Context, inForce rwobject.Object) (rwobject.Object, error)
+}
+
 // Follower holds the settings tree in force at an instance and exchanges
 // settings with the platform and with peers. Set the exported fields before Run.
 type Follower struct {
 	Platform Platform
 	View     *rwmember.View
 	Peers    func(address string) rwwire.DRPCInstanceClient
+	Restorer Restorer
 	Log      logr.Logger
 
 	mu            sync.Mutex
 	tree          atomic.Pointer[rwtree.Tree]
 	lastAppliedAt time.Time
 	rejected      map[string]string // object name to the reason why its newest copy is invalid
+	deleted       rwset.Set[string] // names of objects that were deleted at the platform, as seen by the watch
 }
 
 // Tree returns the tree in force.
@@ -67,7 +77,7 @@
 	var applied []rwobject.Object
 	for _, o := range objects {
 		name := o.Metadata.Name
-		if o.Metadata.Generation <= tree.Generation(name) {
+		if !tree.Revision(name).Before(o.Revision()) {
 			continue
 		}
 		next, err := tree.With(o)
@@ -149,13 +159,19 @@
 		return err
 	}
 	f.pushToZone(ctx, f.ApplyNewer(objects...))
+	f.restoreLost(ctx, objects)
 	ctx, cancel := context.WithTimeout(ctx, withJitter(relistInterval))
 	defer cancel()
 	err = f.Platform.Watch(ctx, rwobject.KindSettings, revision, func(e rwobject.Event) error {
 		switch e.Type {
 		case "ADDED", "MODIFIED":
 			f.pushToZone(ctx, f.ApplyNewer(e.Object))
+			f.setDeleted(e.Object.Metadata.Name, false)
+			if f.isLost(e.Object.Metadata.Name, e.Object) {
+				f.restore(ctx, e.Object.Metadata.Name)
+			}
 		case "DELETED":
+			f.setDeleted(e.Object.Metadata.Name, true)
 			f.Log.Info("a subtree was deleted at the platform; the last settings stay in force", "subtree", e.Object.Metadata.Name)
 		}
 		if !f.isWatcher() {
@@ -214,12 +230,25 @@
 	return nil
 }
 
-// Revisions returns the name and generation of each subtree in force.
+// FetchFromPeers fetches newer settings from a few other instances, so that what any
+// of them had in force some seconds ago is in force here. It ignores failed calls.
+func (f *Follower) FetchFromPeers(ctx context.Context) {
+	members := f.View.Reachable()
+	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+	var calls sync.WaitGroup
+	for _, m := range members[:min(maxFetchPeers, len(members))] {
+		calls.Go(func() { _ = f.Fetch(ctx, m.Address) }) // the next exchange of digests fetches again
+	}
+	calls.Wait()
+}
+
+// Revisions returns the name and revision of each subtree in force.
 func (f *Follower) Revisions() []*rwwire.Revision {
 	tree := f.Tree()
 	var revisions []*rwwire.Revision
 	for _, name := range tree.Names() {
-		revisions = append(revisions, &rwwire.Revision{Name: name, Generation: tree.Generation(name)})
+		r := tree.Revision(name)
+		revisions = append(revisions, &rwwire.Revision{Name: name, Generation: r.Generation, Content: r.Content})
 	}
 	return revisions
 }
@@ -236,14 +265,14 @@
 }
 
 func (f *Follower) objectsNewerThan(revisions []*rwwire.Revision) []rwobject.Object {
-	generations := map[string]int64{}
+	known := map[string]rwobject.Revision{}
 	for _, r := range revisions {
-		generations[r.Name] = r.Generation
+		known[r.Name] = rwobject.Revision{Generation: r.Generation, Content: r.Content}
 	}
 	tree := f.Tree()
 	var objects []rwobject.Object
 	for _, name := range tree.Names() {
-		if tree.Generation(name) > generations[name] {
+		if known[name].Before(tree.Revision(name)) {
 			o, _ := tree.Object(name)
 			objects = append(objects, o)
 		}
--- a/internal/rwsettings/follower_test.go
+++ b/internal/rwsettings/follower_test.go
@@ -7,6 +7,7 @@
 	"ragwortwall/internal/rwobject"
 	"ragwortwall/internal/rwsettings"
 	"ragwortwall/internal/rwtree"
+	"ragwortwall/internal/rwwire"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -45,3 +46,19 @@
 	require.Equal(t, int64(4), f.Tree().Generation("team"))
 	require.Empty(t, f.ApplyNewer(rwobject.New(rwobject.KindSettings, rwtree.RootName, rwtree.Root{})), "an object without a generation must not be applied")
 }
+
+// TestSameGeneration guards against two contents with the same generation that never meet,
+// because each instance takes the other's for its own.
+func TestSameGeneration(t *testing.T) {
+	settings := func(organisation string) string { return `{"organisations":{"` + organisation + `":{}}}` }
+	first, second := &rwsettings.Follower{Log: logr.Discard()}, &rwsettings.Follower{Log: logr.Discard()}
+	require.Len(t, first.ApplyNewer(teamObject(7, settings("before"))), 1)
+	require.Len(t, second.ApplyNewer(teamObject(7, settings("after"))), 1)
+	require.NotEqual(t, first.Tree().Digest(), second.Tree().Digest())
+	for _, pair := range [][2]*rwsettings.Follower{{first, second}, {second, first}} {
+		asked := pair[1].ServeUpdate(&rwwire.UpdateRequest{Ask: true, Have: pair[0].Revisions()})
+		pair[0].ServeUpdate(&rwwire.UpdateRequest{Objects: asked.Objects})
+	}
+	require.Equal(t, first.Tree().Digest(), second.Tree().Digest())
+	require.Equal(t, first.Tree().Revision("team"), second.Tree().Revision("team"))
+}
--- a/internal/rwstandin/platform.go
+++ b/internal/rwstandin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -45,6 +46,9 @@
 	staleObjects      map[string]rwobject.Object // the objects when faults.Stale was set
 	events            []platformEvent            // the latest maxEvents, oldest first
 	changed           chan struct{}              // closed at the next event
+	copied            map[string]rwobject.Object // the contents that Restore brings back
+	copiedRevision    int
+	restores          int
 	faults            PlatformFaults
 	calls             map[string]int // number of API calls by method and kind
 }
@@ -64,6 +68,8 @@
 	mux.HandleFunc("PUT /standin/faults", p.serveFaults)
 	mux.HandleFunc("GET /standin/calls", p.serveCalls)
 	mux.HandleFunc("POST /standin/compact", p.serveCompact)
+	mux.HandleFunc("POST /standin/copy", func(http.ResponseWriter, *http.Request) { p.Copy() })
+	mux.HandleFunc("POST /standin/restore", func(http.ResponseWriter, *http.Request) { p.Restore() })
 	return mux
 }
 
@@ -123,6 +129,28 @@
 	p.compactedRevision = p.revision
 }
 
+// Copy copies the contents for Restore.
+func (p *Platform) Copy() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copied = maps.Clone(p.objects)
+	p.copiedRevision = p.revision
+}
+
+// Restore brings the contents of the last Copy back. All later writes are gone, and their
+// revisions and generations are given out again. Open watches end.
+func (p *Platform) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects = maps.Clone(p.copied)
+	p.revision = p.copiedRevision
+	p.compactedRevision = p.revision
+	p.events = nil
+	p.restores++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *Platform) serveAPI(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, platformPath), "/")
 	watch := r.URL.Query().Get("watch") == "true"
@@ -297,16 +325,19 @@
 		http.Error(w, "resourceVersion is not an integer", http.StatusBadRequest)
 		return
 	}
+	p.mu.Lock()
+	restores, known := p.restores, revision <= p.revision
+	p.mu.Unlock()
 	encoder := json.NewEncoder(w)
 	flush := http.NewResponseController(w).Flush
 	w.WriteHeader(http.StatusOK)
 	_ = flush()
 	for {
-		events, outage, changed, compacted := p.eventsAfter(revision, kind)
-		if outage {
+		events, ended, changed, compacted := p.eventsAfter(revision, kind, restores)
+		if ended {
 			return
 		}
-		if compacted {
+		if compacted || !known {
 			_ = encoder.Encode(rwobject.Event{Type: "ERROR"})
 			return
 		}
@@ -329,10 +360,10 @@
 	}
 }
 
-// eventsAfter returns the kept events of a kind after a revision, whether an outage is
-// injected, a channel that is closed at the next event, and whether events after the
-// revision are no longer kept.
-func (p *Platform) eventsAfter(revision int, kind string) (events []platformEvent, outage bool, changed chan struct{}, compacted bool) {
+// eventsAfter returns the kept events of a kind after a revision, whether watches end, as
+// in an outage or when the contents were restored since, a channel that is closed at the
+// next event, and whether events after the revision are no longer kept.
+func (p *Platform) eventsAfter(revision int, kind string, restores int) (events []platformEvent, ended bool, changed chan struct{}, compacted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.events {
@@ -340,7 +371,7 @@
 			events = append(events, e)
 		}
 	}
-	return events, p.faults.Outage, p.changed, revision < p.compactedRevision
+	return events, p.faults.Outage || p.restores != restores, p.changed, revision < p.compactedRevision
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/rwtree/tree.go
+++ b/internal/rwtree/tree.go
@@ -23,6 +23,7 @@
 	callersByKeyHash map[string]Caller // keyed by the hex SHA-256 of an API key
 	servers          map[string]NamedServer
 	moves            map[string]Move
+	revisions        map[string]rwobject.Revision
 }
 
 // Caller is the organisation that an API key belongs to.
@@ -75,11 +76,13 @@
 		callersByKeyHash: map[string]Caller{},
 		servers:          map[string]NamedServer{},
 		moves:            map[string]Move{},
+		revisions:        map[string]rwobject.Revision{},
 	}
 	for _, name := range sortedNames(objects) {
 		if err := t.addObject(name, objects[name].Spec); err != nil {
 			return Tree{}, err
 		}
+		t.revisions[name] = objects[name].Revision()
 	}
 	return t, t.check()
 }
@@ -146,19 +149,21 @@
 // Names returns the names of all objects, including the root, in order.
 func (t Tree) Names() []string { return sortedNames(t.objects) }
 
-// Generation returns an object's metadata.generation, or 0 if there is no such object.
-func (t Tree) Generation(name string) int64 {
-	return t.objects[name].Metadata.Generation
-}
+// Generation returns an object's generation, or 0 if there is no such object.
+func (t Tree) Generation(name string) int64 { return t.revisions[name].Generation }
+
+// Revision returns an object's revision, or the zero Revision if there is no such object.
+func (t Tree) Revision(name string) rwobject.Revision { return t.revisions[name] }
 
-// Digest returns a hash of the names and generations of all objects. Equal digests
+// Digest returns a hash of the names and revisions of all objects. Equal digests
 // mean that two instances have the same settings in force.
 func (t Tree) Digest() uint64 {
 	h := xxhash.New()
 	for _, name := range t.Names() {
 		_, _ = h.WriteString(name)
-		var b [8]byte
-		binary.LittleEndian.PutUint64(b[:], uint64(t.Generation(name)))
+		var b [16]byte
+		binary.LittleEndian.PutUint64(b[:8], uint64(t.Generation(name)))
+		binary.LittleEndian.PutUint64(b[8:], t.Revision(name).Content)
 		_, _ = h.Write(b[:])
 	}
 	return h.Sum64()
