rwonce: records that a restored platform lost are written again

Callers saw: an order that had run, and whose repeat came after the platform's return from an older copy, ran a second time.

A reload now compares what was known with what is stored; nobody removes records within an hour, so what is missing is lost. Repeats are answered from it, and the next commits write it again. A missing segment counts as a conflict.

--- a/internal/rwmeasure/records.go
+++ b/internal/rwmeasure/records.go
@@ -14,6 +14,7 @@
 	"ragwortwall/internal/rwstandin"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
 )
 
 const (
@@ -101,7 +102,7 @@
 
 // newGroupRecorder returns a recorder that uses the ledger's group commit.
 func newGroupRecorder(c *rwplatform.Client) recorder {
-	ledger := rwonce.NewLedger(c, rwonce.DefaultCommitInterval)
+	ledger := rwonce.NewLedger(c, rwonce.DefaultCommitInterval, logr.Discard())
 	return func(ctx context.Context, key string) error {
 		call := rwonce.Call{Key: key}
 		nonce := rwonce.NewNonce()
--- a/internal/rwonce/bucket.go
+++ b/internal/rwonce/bucket.go
@@ -13,6 +13,7 @@
 	"ragwortwall/internal/rwplatform"
 	"ragwortwall/pkg/rwset"
 
+	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 )
 
@@ -54,6 +55,7 @@
 	number   int
 	store    Store
 	interval time.Duration // minimum time between two commits
+	log      logr.Logger
 
 	mu         sync.Mutex
 	pending    []*operation
@@ -67,6 +69,7 @@
 	segmentByKey    map[string]int // segment number of each key
 	segmentObjects  map[int]rwobject.Object
 	abandonedNonces rwset.Set[string] // nonces of failed Begins, whose calls will not be sent
+	lost            map[string]Record // records by key that the store had and lost; the next commit writes them again
 	lastExpiry      time.Time
 }
 
@@ -131,7 +134,8 @@
 			return
 		}
 		b.loaded = false
-		if !rwerror.Is(err, rwerror.KindConflict) {
+		// A segment is missing if the store came back from an older copy of its contents.
+		if !rwerror.Is(err, rwerror.KindConflict) && !rwerror.Is(err, rwerror.KindNotFound) {
 			b.failAll(operations, err)
 			return
 		}
@@ -163,6 +167,7 @@
 	if err != nil {
 		return err
 	}
+	earlier := b.segmentObjects
 	b.segmentByKey = map[string]int{}
 	b.segmentObjects = map[int]rwobject.Object{}
 	b.current = segment{Records: map[string]Record{}}
@@ -170,6 +175,7 @@
 	for _, o := range objects {
 		s, err := decodeSegment(o)
 		if err != nil {
+			b.segmentObjects = earlier
 			return err
 		}
 		b.segmentObjects[s.Number] = o
@@ -181,6 +187,9 @@
 			b.currentObject = o
 		}
 	}
+	if err := b.findLost(earlier); err != nil {
+		return err
+	}
 	b.loaded = true
 	return nil
 }
@@ -203,7 +212,8 @@
 		return err
 	}
 	next := b.current.clone()
-	dirty := b.markAbandoned(next)
+	dirty := b.addLost(next)
+	dirty = b.markAbandoned(next) || dirty
 	replies := make([]reply, len(operations))
 	for i, op := range operations {
 		number, known := b.segmentByKey[op.key]
@@ -211,6 +221,7 @@
 			replies[i] = b.applySealed(ctx, number, op)
 			continue
 		}
+		dirty = b.addLostKey(next, op.key) || dirty
 		var changed bool
 		replies[i], changed = apply(next, op)
 		dirty = dirty || changed
@@ -262,6 +273,7 @@
 	b.segmentObjects[next.Number] = written
 	for key := range next.Records {
 		b.segmentByKey[key] = next.Number
+		delete(b.lost, key)
 	}
 	return nil
 }
--- a/internal/rwonce/doc.go
+++ b/internal/rwonce/doc.go
@@ -13,4 +13,9 @@
 // to keep write conflicts rare, but correctness depends on the conditional write
 // alone: a writer whose copy of the last segment is stale fails and reloads the
 // bucket.
+//
+// The platform may come back from an older copy of its contents and lack records that it
+// has acknowledged. An instance that had loaded them notices when it reloads the bucket,
+// and writes them again. If none that had them is alive, a repeat of such a call runs
+// again: nothing tells the others that there was a record.
 package rwonce
--- a/internal/rwonce/history_test.go
+++ b/internal/rwonce/history_test.go
@@ -15,6 +15,7 @@
 	"ragwortwall/internal/rwobject"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 )
 
@@ -223,7 +224,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := newLossyStore(seed, 0.15)
 				store.delayUnit = time.Millisecond
-				ledgers := []*Ledger{NewLedger(store, 20*time.Millisecond), NewLedger(store, 20*time.Millisecond)}
+				ledgers := []*Ledger{NewLedger(store, 20*time.Millisecond, logr.Discard()), NewLedger(store, 20*time.Millisecond, logr.Discard())}
 				var mu sync.Mutex
 				var history []porcupine.Operation
 				var wait sync.WaitGroup
@@ -253,8 +254,8 @@
 	for _, keys := range []int{1, maxSegmentRecords, Buckets * maxSegmentRecords, 10 * maxSegmentRecords} {
 		t.Run(strconv.Itoa(keys), func(t *testing.T) {
 			store := newLossyStore(1, 0)
-			require.Equal(t, keys, countGranted(NewLedger(store, 0), keys))
-			require.Zero(t, countGranted(NewLedger(store, 0), keys), "calls granted a second time")
+			require.Equal(t, keys, countGranted(NewLedger(store, 0, logr.Discard()), keys))
+			require.Zero(t, countGranted(NewLedger(store, 0, logr.Discard()), keys), "calls granted a second time")
 		})
 	}
 }
--- a/internal/rwonce/ledger.go
+++ b/internal/rwonce/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 )
 
@@ -24,12 +25,13 @@
 
 // NewLedger returns a ledger that writes to store and commits each bucket at most
 // once per interval.
-func NewLedger(store Store, interval time.Duration) *Ledger {
+func NewLedger(store Store, interval time.Duration, log logr.Logger) *Ledger {
 	l := &Ledger{Store: store, Interval: interval}
 	for n := range l.buckets {
 		l.buckets[n].number = n
 		l.buckets[n].store = store
 		l.buckets[n].interval = interval
+		l.buckets[n].log = log
 	}
 	return l
 }
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -129,7 +129,7 @@
 		Counters:          i.counters,
 		Log:               i.Log.WithName("primary"),
 	}
-	i.ledger = &routedLedger{instance: i, local: rwonce.NewLedger(i.platform, rwonce.DefaultCommitInterval)}
+	i.ledger = &routedLedger{instance: i, local: rwonce.NewLedger(i.platform, rwonce.DefaultCommitInterval, i.Log.WithName("once"))}
 	i.claims = &claims{view: i.view, peers: i.peers.InstanceClient}
 	i.gateway = &rwgateway.Gateway{
 		View:          i.view,
--- a/internal/rwserve/restored_test.go
+++ b/internal/rwserve/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -109,3 +110,28 @@
 		f.requireInForce("second", 1, `"new"`)
 	})
 }
+
+// TestOrderRestored guards against an order that runs twice because the platform came back
+// from a copy that was made before its record.
+func TestOrderRestored(t *testing.T) {
+	withFleet(t, smallFleet, func(f *fleet) {
+		require.Equal(t, http.StatusCreated, f.placeOrder(0, "before", "plan").status)
+		f.platform.Copy()
+		results := map[string]orderResult{}
+		for n := range 12 {
+			key := fmt.Sprintf("k%d", n)
+			results[key] = f.placeOrder(n%len(f.instances), key, "plan")
+			require.Equal(t, http.StatusCreated, results[key].status)
+		}
+		f.platform.Restore()
+		for n := range 12 {
+			require.Equal(t, http.StatusCreated, f.placeOrder(n%len(f.instances), fmt.Sprintf("next%d", n), "plan").status)
+		}
+		for n := range 12 {
+			key := fmt.Sprintf("k%d", n)
+			repeat := f.placeOrder((n+1)%len(f.instances), key, "plan")
+			require.True(t, repeat.replayed, "%+v", repeat)
+		}
+		f.requireReportedOutcomes(results)
+	})
+}
