rwforward: a response without an id on a reused connection belongs to no request

Callers saw (by test): 503 'not run, come back' for a read that its server was running, after the server wrote an earlier refusal once more on a kept connection. Cause: a response without a request id was taken for the current request's on any connection.

Now only the first response of a new connection may lack the id; after one that lacks it the connection isn't kept. Requests that may run once, and streams, have connections of their own, as before.

--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -349,8 +349,9 @@
 	}
 }
 
-// ownsResponse reports whether a response belongs to this request. On a reused
-// connection a late response to an earlier request may arrive first.
+// ownsResponse reports whether a response may belong to this request. On a reused
+// connection a late response to an earlier request may arrive first. One without an id
+// belongs to this request only if the connection is new.
 func (c *call) ownsResponse(h http.Header) bool {
 	id := c.f.Wire.ParseResponse(0, h).RequestID
 	return id == "" || id == c.info.ID
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -191,7 +191,7 @@
 	c.beginVersionAttempt(server)
 	defer c.versionAttempt.Cancel()
 	sentAt := time.Now()
-	response, err := c.exchange(conn, server)
+	response, err := c.exchange(conn, server, reused)
 	if err != nil {
 		conn.Close()
 		c.reportLoss(server.Entry, err)
@@ -202,8 +202,10 @@
 		c.logAttempt("exchange interrupted", server.ID, err)
 		return failed(rwattempt.OutcomeUnknown, c.outcomeUnknownError(server.ID, err))
 	}
-	if stop() {
+	if stop() && response.reply.RequestID != "" {
 		c.f.Pool.Put(conn)
+	} else {
+		conn.Close()
 	}
 	took := time.Since(sentAt)
 	if response.success() && !response.reply.NotRun {
@@ -241,8 +243,12 @@
 // errInvalidResponse is the cause if a response can't be passed on to the caller.
 var errInvalidResponse = rwerror.New(rwerror.KindFailed, "contact the operators", "the response has no signature or has a Content-Encoding")
 
+// errNoRequestID is returned if a response on a reused connection has no request id: it may be
+// one to an earlier request that the server wrote once more.
+var errNoRequestID = errors.New("the response on a reused connection has no request id")
+
 // exchange sends the request on a connection and reads the whole response.
-func (c *call) exchange(conn *rwlink.Conn, server rwbackend.View) (serverResponse, error) {
+func (c *call) exchange(conn *rwlink.Conn, server rwbackend.View, reused bool) (serverResponse, error) {
 	c.progress = responseProgress{}
 	hedgeDelay, canHedge := c.hedgeDelay(server)
 	sentAt := time.Now()
@@ -265,6 +271,9 @@
 	defer response.Body.Close()
 	c.progress.begunAt = time.Now()
 	reply := c.f.Wire.ParseResponse(response.StatusCode, response.Header)
+	if reused && reply.RequestID != c.info.ID {
+		return serverResponse{}, errNoRequestID
+	}
 	c.observeLimit(server.Entry, response.StatusCode, reply, sentAt)
 	body, err := c.readWhole(response.Body)
 	if err != nil {
