rwengine: a connection of its own for each stream

Callers saw (by test): a stream started at a second engine while the first one ran it, after that one wrote an earlier refusal once more on a kept connection. Cause: net/http takes the next response on a connection for the current request's, and engines' responses don't say whose they are. TestRefusalWrittenAgain failed with a client that keeps connections; streams now have one each.

--- a/internal/rwengine/client.go
+++ b/internal/rwengine/client.go
@@ -24,9 +24,12 @@
 	maxEventBytes      = 4 << 20
 )
 
-// Client sends requests to engines. HTTP must not retry requests by itself.
+// Client sends requests to engines. Neither of its clients may retry requests by itself.
+// An engine's responses don't tell which request they belong to, so Streams must not reuse
+// connections.
 type Client struct {
-	HTTP *http.Client
+	HTTP    *http.Client // for load reports, orders and the like
+	Streams *http.Client // for completions
 }
 
 // StreamEvent is the decoded content of one event of a stream.
@@ -95,7 +98,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Request-Id", stream)
-	response, err := c.HTTP.Do(request)
+	response, err := c.Streams.Do(request)
 	if err != nil {
 		return nil, connectionError(err)
 	}
--- a/internal/rwengine/client_test.go
+++ b/internal/rwengine/client_test.go
@@ -1,14 +1,21 @@
 package rwengine
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/iotest"
 
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwfake"
+	"ragwortwall/internal/rwnet"
 
 	"github.com/stretchr/testify/require"
 )
@@ -80,3 +87,67 @@
 		require.Error(t, err, "a stream must end with an error, io.EOF if it is complete")
 	})
 }
+
+// TestRefusalWrittenAgain guards against a stream that starts at a second engine while the
+// first one runs it: that engine wrote an earlier refusal once more on a kept connection.
+func TestRefusalWrittenAgain(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	network := &rwfake.Network{}
+	listener, err := network.Host("engine").Listen("10.0.2.1:80")
+	require.NoError(t, err)
+	defer listener.Close()
+	var requests atomic.Int32
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for earlier := 0; ; earlier++ {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if requests.Add(1) == 1 || earlier > 0 {
+				_, _ = io.WriteString(conn, refusal)
+				continue
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(goodEvent), goodEvent)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	host := network.Host("client")
+	c := &Client{HTTP: rwnet.HTTPClient(host), Streams: rwnet.UnpooledHTTPClient(host)}
+	_, err = c.Complete(t.Context(), "10.0.2.1:80", "first", Request{})
+	require.True(t, rwerror.Is(err, rwerror.KindOverloaded), "%v", err)
+	s, err := c.Complete(t.Context(), "10.0.2.1:80", "second", Request{})
+	require.NoError(t, err, "the engine runs this stream")
+	event, err := s.Next()
+	require.NoError(t, err)
+	require.Len(t, event.Tokens, 1)
+}
+
+// TestErrorInStream guards against the text of an error that reaches callers as part of
+// their answer, and against one that ends an answer as if it were complete.
+func TestErrorInStream(t *testing.T) {
+	for name, text := range map[string]string{
+		"head of another response": "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nout of memory\n\n",
+		"text as data":             "data: out of memory\n\ndata: [DONE]\n\n",
+		"error as text":            `data: {"error":"out of memory"}` + "\n\ndata: [DONE]\n\n",
+		"named event":              "event: error\ndata: {\"error\":{\"message\":\"out of memory\"}}\n\ndata: [DONE]\n\n",
+		"JSON body":                `{"error":{"message":"out of memory"}}`,
+		"within an event":          goodEvent[:40] + "\n\ndata: [DONE]\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			events, err := readStream(goodEvent + text)
+			require.Len(t, events, 1)
+			require.NotErrorIs(t, err, io.EOF, "the answer must not look complete")
+		})
+	}
+}
--- a/internal/rwnet/network.go
+++ b/internal/rwnet/network.go
@@ -79,6 +79,15 @@
 	return &http.Client{Transport: newTransport(n), CheckRedirect: noRedirect}
 }
 
+// UnpooledHTTPClient returns a client like HTTPClient that opens a connection for each
+// request, so that what a server still sends for an earlier one can't be taken for its
+// response.
+func UnpooledHTTPClient(n Network) *http.Client {
+	transport := newTransport(n)
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func newTransport(n Network) *http.Transport {
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -85,7 +85,7 @@
 	i.incarnation = rand.Uint64()
 	i.peers = rwnet.NewPeerPool(i.PeerNetwork)
 	httpClient := rwnet.HTTPClient(i.Network)
-	engines := &rwengine.Client{HTTP: httpClient}
+	engines := &rwengine.Client{HTTP: httpClient, Streams: rwnet.UnpooledHTTPClient(i.Network)}
 	i.platform = &rwplatform.Client{URL: i.Config.Platform, HTTP: httpClient, Timeout: platformTimeout}
 	i.view = rwmember.NewView(i.Config.Peer(), i.Config.Peers)
 	i.settings = &rwsettings.Follower{Platform: i.platform, View: i.view, Peers: i.peers.InstanceClient, Log: i.Log.WithName("settings")}
