--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -194,7 +194,11 @@
 	response, err := c.exchange(conn, server, reused)
 	if err != nil {
 		conn.Close()
-		c.reportLoss(server.Entry, err)
+		if errors.Is(err, errNoRequestID) {
+			delete(c.tried, server.ID) // a new connection to it has no earlier request
+		} else {
+			c.reportLoss(server.Entry, err)
+		}
 		if ctx.Err() == nil && !reused && !errors.Is(err, errSlow) {
 			c.f.Directory.RecordLoss(server.ID)
 			c.recordVersionOutcome(server, true, 0)
