rwrelay, rwforward: what has no id is no part of a numbered stream

Callers saw (by test): the text of a server's error, its whole head too, in the middle of their stream, and streams that such a text ended as if they were complete; and events twice where a stream without ids was begun anew. Cause: events without an id always passed, whatever came before.

An event without an id now ends the attempt once one had an id, and so does a response of another media type than that of the stream that has begun; the stream goes on elsewhere or is cut. A stream of events without ids isn't begun anew.

--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
@@ -104,6 +105,9 @@
 	if !reply.Signed || response.Header.Get("Content-Encoding") != "" {
 		return false, s.recordInterruption(target, errInvalidResponse)
 	}
+	if s.headerSent && !sameMediaType(response.Header, s.head.Header) {
+		return false, s.recordInterruption(target, errOtherMediaType)
+	}
 	s.progress.begunAt = time.Now()
 	s.head = response
 	events := rwrelay.NewEvents(response.Body)
@@ -161,6 +165,7 @@
 		s.markServerLost(target.server)
 		s.recordVersionOutcome(target.server, true, 0)
 	}
+	s.final = s.final || !s.sequence.Resumable()
 	s.f.Counters.countStreamLost(interruptionCause(cause))
 	s.f.Log.Info("stream interrupted", "request", s.info.ID, "server", target.server.ID, "zone", target.server.Zone, "cause", cause.Error(),
 		"events", s.eventsSent, "copy", s.run.Copy, "sent", s.attempts, "took", time.Since(s.startedAt).Seconds(), "parts", s.partNames(), "progress", s.progress.String())
@@ -177,6 +182,8 @@
 		return "gone"
 	case errors.Is(cause, errEventGap):
 		return "gap"
+	case errors.Is(cause, errForeignEvent), errors.Is(cause, errOtherMediaType):
+		return "foreign"
 	default:
 		return "broken"
 	}
@@ -217,6 +224,19 @@
 	s.w.WriteHeader(s.head.StatusCode)
 }
 
+// sameMediaType reports whether two responses have the same media type, as far as both name
+// one.
+func sameMediaType(a, b http.Header) bool {
+	first, second := mediaType(a), mediaType(b)
+	return first == "" || second == "" || first == second
+}
+
+// mediaType returns the media type of a response without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // recordFirstEvent records and publishes that a server has sent its first event.
 func (s *stream) recordFirstEvent(target attemptTarget, took time.Duration) {
 	s.run.Started = true
@@ -229,8 +249,8 @@
 }
 
 // forwardEvent writes an event to the caller, unless the caller already has it. It
-// returns errEventGap if events before it are missing, and errCallerLeft if the write
-// fails.
+// returns errEventGap if events before it are missing, errForeignEvent if it is not of the
+// stream, and errCallerLeft if the write fails.
 func (s *stream) forwardEvent(event rwrelay.Event) error {
 	switch s.sequence.Judge(event) {
 	case rwrelay.VerdictPass:
@@ -238,6 +258,8 @@
 		return nil
 	case rwrelay.VerdictGap:
 		return errEventGap
+	case rwrelay.VerdictForeign:
+		return errForeignEvent
 	}
 	s.copies.ensureCopy(s)
 	s.writeHeader()
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -43,6 +43,9 @@
 	errUnreachable = errors.New("the server is unreachable")
 	errEventGap    = errors.New("event ids are missing from the stream")
 	errCallerLeft  = errors.New("the caller disconnected")
+
+	errForeignEvent   = errors.New("an event without an id is no part of the stream")
+	errOtherMediaType = errors.New("the response has another media type than the stream that began")
 )
 
 // serveStream handles a request whose response is a stream of events. When a server is
--- a/internal/rwrelay/event.go
+++ b/internal/rwrelay/event.go
@@ -109,8 +109,9 @@
 // Sequencer drops duplicate events and detects missing ones across the attempts of a
 // stream.
 type Sequencer struct {
-	last    int64 // id of the last event that was passed to the caller
-	started bool  // last is valid
+	last       int64 // id of the last event that was passed to the caller
+	started    bool  // last is valid
+	unnumbered bool  // an event without an id was passed to the caller
 }
 
 // NewSequencer returns the Sequencer of a stream. If resumed is set, the caller already
@@ -127,12 +128,18 @@
 	VerdictPass Verdict = iota // forward the event
 	VerdictDrop                // the caller already has the event
 	VerdictGap                 // earlier events are missing: end the attempt
+	VerdictForeign             // the event is no part of the stream: end the attempt
 )
 
-// Judge decides about an event and records its id if it passes. Ids increase by one;
-// events without an id always pass.
+// Judge decides about an event and records its id if it passes. Ids increase by one. An
+// event without an id passes only if no event had one: otherwise it is not of this stream
+// but, for example, the text of an error.
 func (s *Sequencer) Judge(e Event) Verdict {
 	if !e.HasID {
+		if s.started {
+			return VerdictForeign
+		}
+		s.unnumbered = true
 		return VerdictPass
 	}
 	switch {
@@ -145,6 +152,10 @@
 	return VerdictPass
 }
 
+// Resumable reports whether another attempt may go on after the events that were passed to
+// the caller: none of them lacks an id.
+func (s *Sequencer) Resumable() bool { return !s.unnumbered }
+
 // Last returns the id of the last event that was passed to the caller, and false if
 // there is none.
 func (s *Sequencer) Last() (int64, bool) { return s.last, s.started }
