rwbackend: servers that say that they leave, or want no requests, get none

Without the directory's check TestStatementKept fails in 13 of 20 cases, TestLeavingServerOfNewEra fails, and TestPauseKept counts 79 requests where 2 are allowed. TestReturnAfterPause: of 390 instances told at the same moment to wait for 8 s, at most 29 return in a tenth of a second; of 85, 9.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -37,15 +37,16 @@
 	services      map[string][]*Server
 	runs          map[string]*Run // by request id
 	parts         map[string]*Run // newest run by id of the last part of its prompt
-	prefillRate   float64         // average, in prompt tokens per second
-	tokenInterval float64         // average, in seconds
+	statements    map[process]*statements
+	prefillRate   float64 // average, in prompt tokens per second
+	tokenInterval float64 // average, in seconds
 }
 
 // NewDirectory returns an empty directory for the instance with the given name.
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(),
+		runs: map[string]*Run{}, parts: map[string]*Run{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(),
 	}
 }
 
@@ -128,15 +129,15 @@
 	return s.Entry, true
 }
 
-// Service returns views of the servers of a service that accept new requests,
-// which are all that are not leaving.
+// Service returns views of the servers of a service that accept new requests: those that
+// are not leaving and don't want a pause.
 func (d *Directory) Service(name string) []View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	views := make([]View, 0, len(d.services[name]))
 	for _, s := range d.services[name] {
-		if !s.Leaving {
+		if d.acceptsLocked(s, now) {
 			views = append(views, d.viewLocked(s, now))
 		}
 	}
@@ -163,6 +164,9 @@
 		Entry: s.Entry, Plain: s.ownRequests, FailureRate: s.failureRate,
 		Latency: time.Duration(s.latency * float64(time.Second)), Suspect: now.Before(s.suspectUntil), SilentSinceLoss: s.lostAt.After(s.receivedAt),
 	}
+	if known := d.statements[s.process()]; known != nil {
+		v.SaidLeaving, v.PausedUntil = !known.leavingAt.IsZero(), known.pausedUntil
+	}
 	if age := now.Sub(s.loadAt); age < loadTTL {
 		v.OtherRequests = max(0, s.load.Running+s.load.Waiting-s.ownRequests)
 	}
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -35,6 +35,7 @@
 	s.suspectUntil, s.receivedAt = time.Time{}, time.Now()
 	s.recordAliveLocked(took)
 	s.recordResultLocked(failed)
+	d.recordReturnLocked(s)
 	if took > 0 {
 		if s.latency == 0 {
 			s.latency = took.Seconds()
@@ -53,6 +54,7 @@
 	if s, ok := d.servers[id]; ok {
 		s.receivedAt = time.Now()
 		s.recordAliveLocked(0)
+		d.recordReturnLocked(s)
 	}
 }
 
@@ -185,7 +187,7 @@
 		return FateUnlisted
 	case s.Incarnation > e.Incarnation:
 		return FateReplaced
-	case s.Leaving:
+	case d.isLeavingLocked(s):
 		return FateLeaving
 	case s.aliveAt.After(since):
 		return FateResponds
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -67,4 +67,6 @@
 	Runs            int           // active runs of all instances
 	Committed       int           // KV cache tokens that its runs and copies may take at most
 	Backlog         int           // prompt tokens still to be prefilled
+	SaidLeaving     bool          // it said in a response that it is leaving
+	PausedUntil     time.Time     // end of the latest pause that it asked for; zero if it asked for none
 }
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -64,7 +64,7 @@
 type ServerDump struct {
 	ID        string  `json:"id"`
 	Zone      string  `json:"zone"`
-	Leaving   bool    `json:"leaving"`
+	Leaving   bool    `json:"leaving"` // by its entry or by its own word
 	Suspect   bool    `json:"suspect"`
 	Runs      int     `json:"runs"`
 	Committed int     `json:"committed"` // tokens
@@ -72,6 +72,7 @@
 	Failures  float64 `json:"failures"`  // failure rate as a moving average, 0 to 1
 
 	Limit *float64 `json:"limit,omitempty"` // that it names, in requests per second
+	Pause float64  `json:"pause,omitempty"` // seconds for which it wants no requests
 }
 
 // SuspicionDump is a request under which servers were lost in a StateDump.
@@ -110,7 +111,8 @@
 			limit = &named.Rate
 		}
 		d.Servers = append(d.Servers, ServerDump{
-			Limit: limit, ID: s.ID, Zone: s.Zone, Leaving: s.Leaving, Suspect: s.Suspect, Runs: s.Runs, Committed: s.Committed, Backlog: s.Backlog, Failures: s.FailureRate,
+			Limit: limit, Pause: max(0, time.Until(s.PausedUntil).Seconds()),
+			ID: s.ID, Zone: s.Zone, Leaving: s.Leaving || s.SaidLeaving, Suspect: s.Suspect, Runs: s.Runs, Committed: s.Committed, Backlog: s.Backlog, Failures: s.FailureRate,
 		})
 	}
 	return d
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -71,7 +71,7 @@
 	if held && (!k.requested || now.Sub(k.lastRefresh) < copyRefreshInterval) {
 		return
 	}
-	if !s.f.Limits.Take(limitedServer(k.runServer)) || !held && !k.chooseTarget(s) {
+	if s.f.Directory.IsPaused(k.runServer) || !s.f.Limits.Take(limitedServer(k.runServer)) || !held && !k.chooseTarget(s) {
 		return
 	}
 	k.requesting, k.lastRefresh = true, now
--- a/internal/rwforward/limits.go
+++ b/internal/rwforward/limits.go
@@ -20,9 +20,9 @@
 	return rwlimit.Server{ID: e.ID, Incarnation: e.Incarnation}
 }
 
-// observeLimit records what a response says of its server's limit. Another server answers a
-// misdirected request.
-func (c *call) observeLimit(server rwbackend.Entry, status int, reply ResponseInfo, sentAt time.Time) {
+// observeServer records what a response says of its server: its limit, that it is leaving, or
+// that it wants no requests for a while. Another server answers a misdirected request.
+func (c *call) observeServer(server rwbackend.Entry, status int, reply ResponseInfo, sentAt time.Time) {
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
@@ -30,6 +30,34 @@
 		c.f.Limits.ReportInvalid(limitedServer(server), reply.InvalidLimit)
 	}
 	c.f.Limits.Observe(limitedServer(server), reply.Limit, sentAt)
+	c.observeStatement(server, status, reply.Statement)
+}
+
+func (c *call) observeStatement(server rwbackend.Entry, status int, s rwbackend.Statement) {
+	if s.Invalid != "" {
+		c.f.Log.Info("ignoring what a server says of itself", "request", c.info.ID, "server", server.ID, "status", status, "text", s.Invalid)
+	}
+	leaves, pause := c.f.Directory.RecordStatement(server, s)
+	if leaves {
+		c.f.Counters.increment("servers_left")
+		c.f.Log.Info("server says that it is leaving", "request", c.info.ID, "server", server.ID, "incarnation", server.Incarnation, "status", status)
+	}
+	if pause > 0 {
+		c.f.Counters.increment("servers_paused")
+		c.f.Log.Info("server wants no requests", "request", c.info.ID, "server", server.ID, "incarnation", server.Incarnation, "asked", s.RetryAfter.Seconds(), "pause", pause.Seconds())
+	}
+}
+
+// noServerError is returned if no server of the service can accept the request. If some
+// asked for a pause, it says when the first of them ends.
+func (c *call) noServerError(servers int) error {
+	paused, soonest := c.f.Directory.Paused(c.service.Name)
+	if paused > 0 {
+		return rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After",
+			"none of the %d backend servers of the service can accept the request, and %d want a pause", servers, paused).WithRetryAfter(max(shortRetryAfter, soonest))
+	}
+	return rwerror.New(rwerror.KindUnavailable, "retry after the time in Retry-After",
+		"none of the %d backend servers of the service can accept the request", servers).WithRetryAfter(longRetryAfter / 2)
 }
 
 // urgency orders the request among those that share a server's limit.
@@ -101,8 +129,7 @@
 		case !found && retryAfter > 0:
 			return server, limitError(len(servers), retryAfter)
 		case !found:
-			return server, rwerror.New(rwerror.KindUnavailable, "retry after the time in Retry-After",
-				"none of the %d backend servers of the service can accept the request", len(servers)).WithRetryAfter(longRetryAfter / 2)
+			return server, c.noServerError(len(servers))
 		}
 		// Another request took the token meanwhile.
 		ready = slices.DeleteFunc(ready, func(s rwbackend.View) bool { return s.ID == server.ID })
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -278,7 +278,7 @@
 	if reused && reply.RequestID != c.info.ID {
 		return serverResponse{}, errNoRequestID
 	}
-	c.observeLimit(server.Entry, response.StatusCode, reply, sentAt)
+	c.observeServer(server.Entry, response.StatusCode, reply, sentAt)
 	body, err := c.readWhole(response.Body)
 	if err != nil {
 		return serverResponse{}, err
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -84,7 +84,7 @@
 	}
 	defer response.Body.Close()
 	reply := s.f.Wire.ParseResponse(response.StatusCode, response.Header)
-	s.observeLimit(target.server.Entry, response.StatusCode, reply, sentAt)
+	s.observeServer(target.server.Entry, response.StatusCode, reply, sentAt)
 	if reply.NotRun {
 		switch {
 		case response.StatusCode == http.StatusMisdirectedRequest:
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -152,6 +152,9 @@
 		if limitWait > 0 {
 			return attemptTarget{}, limitError(len(servers), limitWait)
 		}
+		if paused, _ := s.f.Directory.Paused(s.service.Name); paused > 0 {
+			return attemptTarget{}, s.noServerError(len(servers))
+		}
 		return attemptTarget{}, rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After",
 			"none of %d model servers has room for %d tokens in its KV cache", len(servers), s.info.Prompt+s.info.MaxOutput).WithRetryAfter(longRetryAfter / 2)
 	}
--- a/internal/rwrelay/event.go
+++ b/internal/rwrelay/event.go
@@ -125,10 +125,10 @@
 
 // Decisions about an event.
 const (
-	VerdictPass Verdict = iota // forward the event
-	VerdictDrop                // the caller already has the event
-	VerdictGap                 // earlier events are missing: end the attempt
-	VerdictForeign             // the event is no part of the stream: end the attempt
+	VerdictPass    Verdict = iota // forward the event
+	VerdictDrop                   // the caller already has the event
+	VerdictGap                    // earlier events are missing: end the attempt
+	VerdictForeign                // the event is no part of the stream: end the attempt
 )
 
 // Judge decides about an event and records its id if it passes. Ids increase by one. An
