rwsoak: servers that say that they leave or want a pause

Leaving is checked for model servers by reads only as far as they reach them; their streams aren't recorded by instance.

--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,12 @@
 SOAK_LIMITS := --seed 5203 --length 14s --limits --reads
 SOAK_LIMITS_PLANNED := --seed 5302 --length 14s --limits --planned
 
-# Two runs at a time, so that they take less than two minutes.
-SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)"
+# With servers that say that they leave or want no requests, and other faults.
+SOAK_STATEMENTS := --seed 8101 --length 12s --statements
+
+# Several runs at a time, so that they take less than two minutes.
+SOAK_JOBS := 3
+SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)"
 
 .PHONY: build demo demo-platform test unit prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
@@ -46,7 +50,7 @@
 	@mkdir -p out
 	$(BIN)/rwdemo >out/demo.txt 2>&1 || (cat out/demo.txt; exit 1)
 	@cat out/demo.txt
-	printf '%s\n' $(SOAK_RUNS) | xargs -P 2 -L 1 $(BIN)/rwsoak --logs out/soak-ci
+	printf '%s\n' $(SOAK_RUNS) | xargs -P $(SOAK_JOBS) -L 1 $(BIN)/rwsoak --logs out/soak-ci
 
 # Runs the commands of KNOWN-RED.txt, which list known failures that are not fixed
 # yet, and prints their results. Only these commands may fail.
--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -18,19 +18,20 @@
 )
 
 type options struct {
-	Program   string        `long:"program" default:"bin/rwentry" description:"program to run as each instance"`
-	Logs      string        `long:"logs" default:"out/soak" description:"directory for logs and reports"`
-	Seed      uint64        `long:"seed" description:"first seed; if 0, the Unix time in milliseconds, but 0 itself with --measure"`
-	Seeds     int           `long:"seeds" default:"1" description:"number of seeds to run, one after the other, counting up from the first"`
-	Length    time.Duration `long:"length" default:"15s" description:"how long faults are injected for each seed; with --measure, the duration of each load"`
-	Instances int           `long:"instances" default:"6" description:"number of instances"`
-	Models    int           `long:"models" default:"4" description:"number of model servers in each availability zone"`
-	Poison    bool          `long:"poison" description:"also send a request that crashes each server that runs it, and check that it is kept from the servers"`
-	Planned   bool          `long:"planned" description:"inject no faults but graceful stops of instances and drains of servers, beside silent servers and changes of settings"`
-	Parts     bool          `long:"parts" description:"also send different requests with a part of a prompt that crashes each server that begins a response on it, and check that they are kept from the servers and that requests with the same other parts are served"`
-	Reads     bool          `long:"reads" description:"also send reads without a prompt that crash each server that runs them, with a new query each time, and check that they are kept from the servers"`
-	Limits    bool          `long:"limits" description:"have servers name limits on the requests that they take, change and end them, and check that they get no more"`
-	Measure   bool          `long:"measure" description:"instead of the soak, measure a series of loads one after the other, starting with a baseline without faults"`
+	Program    string        `long:"program" default:"bin/rwentry" description:"program to run as each instance"`
+	Logs       string        `long:"logs" default:"out/soak" description:"directory for logs and reports"`
+	Seed       uint64        `long:"seed" description:"first seed; if 0, the Unix time in milliseconds, but 0 itself with --measure"`
+	Seeds      int           `long:"seeds" default:"1" description:"number of seeds to run, one after the other, counting up from the first"`
+	Length     time.Duration `long:"length" default:"15s" description:"how long faults are injected for each seed; with --measure, the duration of each load"`
+	Instances  int           `long:"instances" default:"6" description:"number of instances"`
+	Models     int           `long:"models" default:"4" description:"number of model servers in each availability zone"`
+	Poison     bool          `long:"poison" description:"also send a request that crashes each server that runs it, and check that it is kept from the servers"`
+	Planned    bool          `long:"planned" description:"inject no faults but graceful stops of instances and drains of servers, beside silent servers and changes of settings"`
+	Parts      bool          `long:"parts" description:"also send different requests with a part of a prompt that crashes each server that begins a response on it, and check that they are kept from the servers and that requests with the same other parts are served"`
+	Reads      bool          `long:"reads" description:"also send reads without a prompt that crash each server that runs them, with a new query each time, and check that they are kept from the servers"`
+	Limits     bool          `long:"limits" description:"have servers name limits on the requests that they take, change and end them, and check that they get no more"`
+	Statements bool          `long:"statements" description:"have servers say that they are leaving, or how long they want no requests, and check that they get none"`
+	Measure    bool          `long:"measure" description:"instead of the soak, measure a series of loads one after the other, starting with a baseline without faults"`
 }
 
 func main() {
@@ -96,7 +97,7 @@
 // guarantee held. It removes the folder with the logs only if all held.
 func (o options) runSeed(ctx context.Context, seed uint64) bool {
 	folder := filepath.Join(o.Logs, fmt.Sprint(seed))
-	soak := &rwsoak.Soak{Program: o.Program, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, PlannedOnly: o.Planned}
+	soak := &rwsoak.Soak{Program: o.Program, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, PlannedOnly: o.Planned}
 	report, err := soak.Run(ctx)
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -29,6 +29,7 @@
 	Poison        bool // a request that crashes each server that runs it is sent all the while
 	PlannedOnly   bool // no faults but graceful stops of instances and drains of servers
 	Limits        bool // servers name limits on the requests that they take
+	Statements    bool // servers say that they leave or want no requests for a while
 	Reads         bool // Poison with reads without a prompt that have a new query each time
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
 
@@ -53,6 +54,7 @@
 	configuration  standin.Configuration
 	limitSentTo    map[string]string // names of instances, by id of the requests of sendLimitReads
 	limitedServers []*standin.Server // that named a limit
+	sayingServers  []*standin.Server // that said that they leave or want a pause
 }
 
 // Report is the result of a soak run.
@@ -120,10 +122,15 @@
 	if s.Parts {
 		running.Go(func() { s.sendParts(callers) })
 	}
-	if s.Limits {
+	if s.Limits || s.Statements {
 		running.Go(func() { s.sendLimitReads(callers) })
+	}
+	if s.Limits {
 		running.Go(func() { s.changeLimits(callers) })
 	}
+	if s.Statements {
+		running.Go(func() { s.sayStatements(callers) })
+	}
 	running.Go(func() { s.runKept(callers) })
 	s.injectFaults(ctx)
 	s.checkRecovery(ctx)
@@ -133,6 +140,7 @@
 	s.checkPoison()
 	s.checkParts()
 	s.checkLimits()
+	s.checkStatements()
 	s.checkCuts()
 	return s.report, nil
 }
