--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 SOAK_JOBS := 3
 SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)"
 
-.PHONY: build demo demo-platform test unit prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
+.PHONY: build demo demo-platform test unit vet unit-plain race-small race-rwserve race-platform prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -46,8 +46,13 @@
 demo-platform: build
 	$(BIN)/rwsoak --seed 3 --length 6s --instances 3
 
-test: build lint unit prove known-red
+# Targets that don't depend on each other, CHECK_JOBS of them at a time.
+CHECKS := lint vet unit-plain race-platform race-rwserve race-small prove known-red
+CHECK_JOBS := 5
+
+test: build
 	@mkdir -p out
+	$(MAKE) --jobs $(CHECK_JOBS) --output-sync=target $(CHECKS)
 	$(BIN)/rwdemo >out/demo.txt 2>&1 || (cat out/demo.txt; exit 1)
 	@cat out/demo.txt
 	printf '%s\n' $(SOAK_RUNS) | xargs -P $(SOAK_JOBS) -L 1 $(BIN)/rwsoak --logs out/soak-ci
@@ -60,13 +65,23 @@
 soak: build
 	$(BIN)/rwsoak --seeds 10
 
-unit:
+unit: vet unit-plain race-small race-rwserve race-platform
+
+vet:
 	$(GO) vet ./...
+
+unit-plain:
 	$(GO) test $(SKIP_RED) ./...
-	$(GO) test -race $(SKIP_RED) ./internal/rwonce ./internal/rwslot
+
+race-small:
+	$(GO) test -race $(SKIP_RED) ./internal/rwonce ./internal/rwslot ./internal/rwbackend ./internal/rwconn ./internal/rwfeed ./internal/rwlink ./internal/rwpeer ./internal/rwlog ./internal/rwpart
+
+race-rwserve:
 	@mkdir -p out
 	scripts/race.sh ./internal/rwserve $(if $(RED_TESTS),'^($(RED_TESTS))$$')
-	$(GO) test -race $(SKIP_RED) ./internal/rwbackend ./internal/rwconn ./internal/rwfeed ./internal/rwlink ./internal/rwpeer ./internal/rwlog ./internal/rwpart ./platform
+
+race-platform:
+	$(GO) test -race $(SKIP_RED) ./platform
 
 prove: spin
 	scripts/prove.sh
