--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -77,7 +77,7 @@
 			break
 		}
 	}
-	s := &Server{Entry: e, activeRuns: map[string]*Run{}, copies: map[string]*Run{}}
+	s := &Server{Entry: e, said: d.statements[e.process()], activeRuns: map[string]*Run{}, copies: map[string]*Run{}}
 	if e.Leaving {
 		s.leavingSince = time.Now()
 	}
@@ -164,8 +164,8 @@
 		Entry: s.Entry, Plain: s.ownRequests, FailureRate: s.failureRate,
 		Latency: time.Duration(s.latency * float64(time.Second)), Suspect: now.Before(s.suspectUntil), SilentSinceLoss: s.lostAt.After(s.receivedAt),
 	}
-	if known := d.statements[s.process()]; known != nil {
-		v.SaidLeaving, v.PausedUntil = !known.leavingAt.IsZero(), known.pausedUntil
+	if s.said != nil {
+		v.SaidLeaving, v.PausedUntil = !s.said.leavingAt.IsZero(), s.said.pausedUntil
 	}
 	if age := now.Sub(s.loadAt); age < loadTTL {
 		v.OtherRequests = max(0, s.load.Running+s.load.Waiting-s.ownRequests)
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -35,7 +35,7 @@
 	s.suspectUntil, s.receivedAt = time.Time{}, time.Now()
 	s.recordAliveLocked(took)
 	s.recordResultLocked(failed)
-	d.recordReturnLocked(s)
+	s.recordReturn()
 	if took > 0 {
 		if s.latency == 0 {
 			s.latency = took.Seconds()
@@ -54,7 +54,7 @@
 	if s, ok := d.servers[id]; ok {
 		s.receivedAt = time.Now()
 		s.recordAliveLocked(0)
-		d.recordReturnLocked(s)
+		s.recordReturn()
 	}
 }
 
@@ -187,7 +187,7 @@
 		return FateUnlisted
 	case s.Incarnation > e.Incarnation:
 		return FateReplaced
-	case d.isLeavingLocked(s):
+	case s.isLeaving():
 		return FateLeaving
 	case s.aliveAt.After(since):
 		return FateResponds
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -49,6 +49,7 @@
 	probedAt            time.Time         // when it was last selected for a probe by ServersToProbe
 	leavingSince        time.Time         // when its entry first said that it is leaving
 	removed             bool              // its entry is no longer listed
+	said                *statements       // what its process has said of itself; nil if nothing
 	activeRuns          map[string]*Run   // by request id
 	copies              map[string]*Run   // runs whose copy it holds, by request id
 	parts               rwset.Set[string] // ids of the prompt parts that it last reported to hold
--- a/internal/rwbackend/statement.go
+++ b/internal/rwbackend/statement.go
@@ -48,8 +48,8 @@
 // RecordStatement records what a server said of itself in a response to a request that was
 // sent to the entry e. It returns what is new: that the server is leaving, or the time for
 // which no more requests go to it.
-func (d *Directory) RecordStatement(e Entry, s Statement) (leaves bool, pause time.Duration) {
-	if !s.Leaving && s.RetryAfter <= 0 {
+func (d *Directory) RecordStatement(e Entry, statement Statement) (leaves bool, pause time.Duration) {
+	if !statement.Leaving && statement.RetryAfter <= 0 {
 		return false, 0
 	}
 	d.mu.Lock()
@@ -61,13 +61,16 @@
 		d.expireStatementsLocked(now)
 		known = &statements{}
 		d.statements[key] = known
+		if s, listed := d.servers[e.ID]; listed && s.process() == key {
+			s.said = known
+		}
 	}
-	if s.Leaving && known.leavingAt.IsZero() {
+	if statement.Leaving && known.leavingAt.IsZero() {
 		known.leavingAt, leaves = now, true
 	}
-	if s.RetryAfter > 0 {
-		spread := min(maxReturnSpread, time.Duration(returnSpread*float64(s.RetryAfter)))
-		pause = s.RetryAfter + time.Duration(rand.Int64N(int64(spread)+1))
+	if statement.RetryAfter > 0 {
+		spread := min(maxReturnSpread, time.Duration(returnSpread*float64(statement.RetryAfter)))
+		pause = statement.RetryAfter + time.Duration(rand.Int64N(int64(spread)+1))
 		known.pausedUntil, known.returning = later(known.pausedUntil, now.Add(pause)), true
 	}
 	return leaves, pause
@@ -101,11 +104,10 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, s := range d.services[service] {
-		known := d.statements[s.process()]
-		if known == nil || !known.leavingAt.IsZero() || s.Leaving || d.acceptsLocked(s, now) {
+		if s.said == nil || s.isLeaving() || d.acceptsLocked(s, now) {
 			continue
 		}
-		if wait := max(0, known.pausedUntil.Sub(now)); count == 0 || wait < soonest {
+		if wait := max(0, s.said.pausedUntil.Sub(now)); count == 0 || wait < soonest {
 			soonest = wait
 		}
 		count++
@@ -113,26 +115,23 @@
 	return count, soonest
 }
 
-// isLeavingLocked reports whether a server is leaving, by its entry or its own word. The
-// caller must hold the lock of the directory.
-func (d *Directory) isLeavingLocked(s *Server) bool {
-	known := d.statements[s.process()]
-	return s.Leaving || known != nil && !known.leavingAt.IsZero()
+// isLeaving reports whether a server is leaving, by its entry or its own word.
+func (s *Server) isLeaving() bool {
+	return s.Leaving || s.said != nil && !s.said.leavingAt.IsZero()
 }
 
 // acceptsLocked reports whether a server accepts new requests. After a pause it gets one at a
 // time until it has answered one. The caller must hold the lock of the directory.
 func (d *Directory) acceptsLocked(s *Server, now time.Time) bool {
-	known := d.statements[s.process()]
 	switch {
-	case d.isLeavingLocked(s):
+	case s.isLeaving():
 		return false
-	case known == nil:
+	case s.said == nil:
 		return true
-	case now.Before(known.pausedUntil):
+	case now.Before(s.said.pausedUntil):
 		return false
 	}
-	return !known.returning || s.ownRequests == 0 && !d.hasOwnRunLocked(s, known.pausedUntil)
+	return !s.said.returning || s.ownRequests == 0 && !d.hasOwnRunLocked(s, s.said.pausedUntil)
 }
 
 // hasOwnRunLocked reports whether a server has an active run that this instance placed after
@@ -154,10 +153,9 @@
 	return known != nil && time.Now().Before(known.pausedUntil)
 }
 
-// recordReturnLocked records that a server has answered a request. The caller must hold the
-// lock of the directory.
-func (d *Directory) recordReturnLocked(s *Server) {
-	if known := d.statements[s.process()]; known != nil && !time.Now().Before(known.pausedUntil) {
-		known.returning = false
+// recordReturn records that a server has answered a request.
+func (s *Server) recordReturn() {
+	if s.said != nil && !time.Now().Before(s.said.pausedUntil) {
+		s.said.returning = false
 	}
 }
