rwmove: a slow platform doesn't keep a lease from being acquired

The value of a lease counts as watched without a gap if it was read within half of its duration, not within a second: reads of a slow platform take longer.

--- a/internal/rwmove/decider.go
+++ b/internal/rwmove/decider.go
@@ -169,7 +169,7 @@
 	if err := json.Unmarshal(o.Spec, &current); err != nil {
 		return err
 	}
-	if current != d.lease || time.Since(d.leaseReadAt) > renewInterval {
+	if current != d.lease || time.Since(d.leaseReadAt) > leaseDuration/2 {
 		d.leaseSeenAt = time.Now()
 	}
 	d.leaseReadAt = time.Now()
