--- a/internal/rwonce/bucket.go
+++ b/internal/rwonce/bucket.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ragwortwall/internal/rwerror"
@@ -62,6 +63,8 @@
 	flushing   bool
 	lastCommit time.Time
 
+	lostRecords atomic.Int64 // records found lost, since the start
+
 	// The fields below are used only by the goroutine that runs flushAll.
 	loaded          bool
 	currentObject   rwobject.Object // holds the current segment as last read or written
--- a/internal/rwonce/ledger.go
+++ b/internal/rwonce/ledger.go
@@ -36,6 +36,15 @@
 	return l
 }
 
+// LostRecords returns how many records this instance has found that the platform had lost.
+func (l *Ledger) LostRecords() int64 {
+	count := int64(0)
+	for n := range l.buckets {
+		count += l.buckets[n].lostRecords.Load()
+	}
+	return count
+}
+
 // Call identifies a call. Key is the digest of the organisation, the route and the
 // caller's idempotency key; RequestDigest is the digest of the request.
 type Call struct {
--- a/internal/rwonce/lost.go
+++ b/internal/rwonce/lost.go
@@ -60,6 +60,9 @@
 		return
 	}
 	if time.Since(time.Unix(r.WrittenAt, 0)) < minRetention {
+		if _, known := b.lost[key]; !known {
+			b.lostRecords.Add(1)
+		}
 		b.lost[key] = r
 	}
 }
--- a/internal/rwserve/metrics.go
+++ b/internal/rwserve/metrics.go
@@ -14,6 +14,8 @@
 		"members":     len(i.view.Reachable()),
 		"goroutines":  runtime.NumGoroutine(),
 		"traffic":     i.trafficState(),
+		"restored":    i.settings.Restored(),
+		"lostrecords": i.ledger.local.LostRecords(),
 	}
 	for name, value := range i.counters.Values() {
 		metrics[name] = value
--- a/internal/rwserve/restored_test.go
+++ b/internal/rwserve/restored_test.go
@@ -92,6 +92,11 @@
 				c.between(f)
 				time.Sleep(10 * time.Second)
 				f.requireInForce("team", c.generation, c.text)
+				restored := int64(0)
+				for _, i := range f.instances {
+					restored += i.settings.Restored()
+				}
+				require.LessOrEqual(t, restored, int64(1), "one instance writes it again, unless a change did")
 			})
 		})
 	}
@@ -133,5 +138,10 @@
 			require.True(t, repeat.replayed, "%+v", repeat)
 		}
 		f.requireReportedOutcomes(results)
+		lost := int64(0)
+		for _, i := range f.instances {
+			lost += i.ledger.local.LostRecords()
+		}
+		require.EqualValues(t, 12, lost)
 	})
 }
--- a/internal/rwsettings/follower.go
+++ b/internal/rwsettings/follower.go
@@ -55,6 +55,7 @@
 
 	mu            sync.Mutex
 	tree          atomic.Pointer[rwtree.Tree]
+	restored      atomic.Int64 // settings that this instance wrote again
 	lastAppliedAt time.Time
 	rejected      map[string]string // object name to the reason why its newest copy is invalid
 	deleted       rwset.Set[string] // names of objects that were deleted at the platform, as seen by the watch
--- a/internal/rwsettings/restore.go
+++ b/internal/rwsettings/restore.go
@@ -46,10 +46,15 @@
 	case err != nil:
 		f.Log.Error(err, "cannot restore settings that the platform lost; trying again after the next list", "subtree", name, "generation", o.Generation())
 	case restored.Metadata.Name != "":
+		f.restored.Add(1)
 		f.Log.Info("settings restored that the platform had lost", "subtree", name, "generation", restored.Generation(), "stored", restored.Metadata.Generation)
 	}
 }
 
+// Restored returns how many times this instance has written settings again that the platform
+// had lost.
+func (f *Follower) Restored() int64 { return f.restored.Load() }
+
 // setDeleted records whether an object was deleted at the platform.
 func (f *Follower) setDeleted(name string, deleted bool) {
 	f.mu.Lock()
