rwbackend, rwforward: invalid statements once a process; time to come back with servers left

A text that can't be used was logged with each response. A refusal named the end of the first pause even if servers without one may have room sooner (TestInvalidStatement; the cases of TestStatementKept with no other server hold as before).

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -35,11 +35,11 @@
 	mu            sync.Mutex
 	servers       map[string]*Server
 	services      map[string][]*Server
-	runs          map[string]*Run // by request id
-	parts         map[string]*Run // newest run by id of the last part of its prompt
-	statements    map[process]*statements
-	prefillRate   float64 // average, in prompt tokens per second
-	tokenInterval float64 // average, in seconds
+	runs          map[string]*Run         // by request id
+	parts         map[string]*Run         // newest run by id of the last part of its prompt
+	statements    map[process]*statements // of the processes that have said something of themselves
+	prefillRate   float64                 // average, in prompt tokens per second
+	tokenInterval float64                 // average, in seconds
 }
 
 // NewDirectory returns an empty directory for the instance with the given name.
--- a/internal/rwbackend/statement.go
+++ b/internal/rwbackend/statement.go
@@ -43,14 +43,22 @@
 	leavingAt   time.Time // when it first said that it is leaving; it can't take that back
 	pausedUntil time.Time // end of the latest pause
 	returning   bool      // it has not completed a request since
+	invalid     bool      // it has said something that can't be used
+}
+
+// News is what a statement adds to what is known of its server.
+type News struct {
+	Leaving bool          // the server is leaving
+	Pause   time.Duration // for which no more requests go to it; zero if it asked for none
+	Invalid bool          // the first statement that can't be used
 }
 
 // RecordStatement records what a server said of itself in a response to a request that was
-// sent to the entry e. It returns what is new: that the server is leaving, or the time for
-// which no more requests go to it.
-func (d *Directory) RecordStatement(e Entry, statement Statement) (leaves bool, pause time.Duration) {
-	if !statement.Leaving && statement.RetryAfter <= 0 {
-		return false, 0
+// sent to the entry e.
+func (d *Directory) RecordStatement(e Entry, statement Statement) News {
+	var news News
+	if !statement.Leaving && statement.RetryAfter <= 0 && statement.Invalid == "" {
+		return news
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,14 +74,17 @@
 		}
 	}
 	if statement.Leaving && known.leavingAt.IsZero() {
-		known.leavingAt, leaves = now, true
+		known.leavingAt, news.Leaving = now, true
+	}
+	if statement.Invalid != "" && !known.invalid {
+		known.invalid, news.Invalid = true, true
 	}
 	if statement.RetryAfter > 0 {
 		spread := min(maxReturnSpread, time.Duration(returnSpread*float64(statement.RetryAfter)))
-		pause = statement.RetryAfter + time.Duration(rand.Int64N(int64(spread)+1))
-		known.pausedUntil, known.returning = later(known.pausedUntil, now.Add(pause)), true
+		news.Pause = statement.RetryAfter + time.Duration(rand.Int64N(int64(spread)+1))
+		known.pausedUntil, known.returning = later(known.pausedUntil, now.Add(news.Pause)), true
 	}
-	return leaves, pause
+	return news
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/rwbackend/statement_test.go
+++ b/internal/rwbackend/statement_test.go
@@ -45,10 +45,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := directory("a", "a")
-			leaves, _ := d.RecordStatement(entry(0, "a"), leaving)
-			require.True(t, leaves)
-			again, _ := d.RecordStatement(entry(0, "a"), leaving)
-			require.False(t, again, "it is reported once")
+			require.True(t, d.RecordStatement(entry(0, "a"), leaving).Leaving)
+			require.False(t, d.RecordStatement(entry(0, "a"), leaving).Leaving, "it is reported once")
 			require.False(t, accepts(d, "s0"))
 			c.after(d)
 			require.Equal(t, c.accepts, accepts(d, "s0"))
@@ -57,13 +55,23 @@
 	}
 }
 
+// TestInvalidStatement checks that a statement that can't be used is reported once for each
+// process and has no effect.
+func TestInvalidStatement(t *testing.T) {
+	d := directory("a")
+	invalid := rwbackend.Statement{Invalid: "Retry-After: soon"}
+	require.Equal(t, rwbackend.News{Invalid: true}, d.RecordStatement(entry(0, "a"), invalid))
+	require.Zero(t, d.RecordStatement(entry(0, "a"), invalid))
+	require.True(t, accepts(d, "s0"))
+}
+
 // TestPause guards against requests to a server within the time for which it wants none, and
 // against all of an instance's requests at once at its end.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := directory("a", "a")
 		const asked = 4 * time.Second
-		_, pause := d.RecordStatement(entry(0, "a"), rwbackend.Statement{RetryAfter: asked})
+		pause := d.RecordStatement(entry(0, "a"), rwbackend.Statement{RetryAfter: asked}).Pause
 		require.GreaterOrEqual(t, pause, asked)
 		require.LessOrEqual(t, pause, asked*5/4)
 		d.RecordStatement(entry(0, "a"), rwbackend.Statement{RetryAfter: time.Second})
--- a/internal/rwforward/limits.go
+++ b/internal/rwforward/limits.go
@@ -34,27 +34,32 @@
 }
 
 func (c *call) observeStatement(server rwbackend.Entry, status int, s rwbackend.Statement) {
-	if s.Invalid != "" {
+	news := c.f.Directory.RecordStatement(server, s)
+	if news.Invalid {
 		c.f.Log.Info("ignoring what a server says of itself", "request", c.info.ID, "server", server.ID, "status", status, "text", s.Invalid)
 	}
-	leaves, pause := c.f.Directory.RecordStatement(server, s)
-	if leaves {
+	if news.Leaving {
 		c.f.Counters.increment("servers_left")
 		c.f.Log.Info("server says that it is leaving", "request", c.info.ID, "server", server.ID, "incarnation", server.Incarnation, "status", status)
 	}
-	if pause > 0 {
+	if news.Pause > 0 {
 		c.f.Counters.increment("servers_paused")
-		c.f.Log.Info("server wants no requests", "request", c.info.ID, "server", server.ID, "incarnation", server.Incarnation, "asked", s.RetryAfter.Seconds(), "pause", pause.Seconds())
+		c.f.Log.Info("server wants no requests", "request", c.info.ID, "server", server.ID, "incarnation", server.Incarnation, "asked", s.RetryAfter.Seconds(), "pause", news.Pause.Seconds())
 	}
 }
 
-// noServerError is returned if no server of the service can accept the request. If some
-// asked for a pause, it says when the first of them ends.
+// noServerError is returned if none of the servers to choose from can accept the request. If
+// others want a pause, the time to come back is that of the first one to return, unless a
+// server to choose from may have room before.
 func (c *call) noServerError(servers int) error {
 	paused, soonest := c.f.Directory.Paused(c.service.Name)
 	if paused > 0 {
+		retryAfter := max(shortRetryAfter, soonest)
+		if servers > 0 {
+			retryAfter = min(retryAfter, longRetryAfter/2)
+		}
 		return rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After",
-			"none of the %d backend servers of the service can accept the request, and %d want a pause", servers, paused).WithRetryAfter(max(shortRetryAfter, soonest))
+			"none of the %d backend servers of the service can accept the request, and %d others want a pause", servers, paused).WithRetryAfter(retryAfter)
 	}
 	return rwerror.New(rwerror.KindUnavailable, "retry after the time in Retry-After",
 		"none of the %d backend servers of the service can accept the request", servers).WithRetryAfter(longRetryAfter / 2)
