--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -44,7 +44,7 @@
 	NotRun    bool   // the server did not run the request
 	ServerID  string // id of the server that responded, not always the addressed one
 	Load      rwbackend.Load
-	Limit     rwlimit.Limit // that the server names
+	Limit     rwlimit.Limit       // that the server names
 	Statement rwbackend.Statement // what the server says of itself
 
 	InvalidLimit string // its text if it can't be used; Limit then names none
