rwonce: records that were taken for lost are checked again at each reload

Found on reading: after an outdated list, which also lacks records, the older record would have replaced a later one of its key: an end that another instance had recorded, or a call granted again. TestLostRecordFound failed in 3 of 3 cases before.

--- a/internal/rwonce/lost.go
+++ b/internal/rwonce/lost.go
@@ -10,9 +10,18 @@
 // were just loaded, and collects the records that the store no longer has. Nobody removes a
 // record before minRetention, and none returns from StateDone to StateSent, so the store
 // has come back from an older copy of its contents.
+//
+// A list that was outdated also lacks records. Those that were taken for lost are therefore
+// checked again.
 func (b *bucket) findLost(earlier map[int]rwobject.Object) error {
-	if b.lost == nil {
-		b.lost = map[string]Record{}
+	before := b.lost
+	b.lost = map[string]Record{}
+	for key, r := range before {
+		stored, err := b.loadedRecords(b.segmentByKey[key])
+		if err != nil {
+			return err
+		}
+		b.checkLost(key, r, stored)
 	}
 	for number, o := range earlier {
 		if loaded, ok := b.segmentObjects[number]; ok && loaded.Nonce() == o.Nonce() {
@@ -30,6 +39,11 @@
 			b.checkLost(key, r, stored)
 		}
 	}
+	for key := range b.lost {
+		if _, known := before[key]; !known {
+			b.lostRecords.Add(1)
+		}
+	}
 	if len(b.lost) > 0 {
 		b.log.Info("the platform has lost records of calls; writing them again", "bucket", b.number, "records", len(b.lost))
 	}
@@ -60,9 +74,6 @@
 		return
 	}
 	if time.Since(time.Unix(r.WrittenAt, 0)) < minRetention {
-		if _, known := b.lost[key]; !known {
-			b.lostRecords.Add(1)
-		}
 		b.lost[key] = r
 	}
 }
--- a/internal/rwonce/lost_test.go
+++ b/internal/rwonce/lost_test.go
@@ -110,6 +110,28 @@
 	}
 }
 
+// TestLostRecordFound guards against a record that was taken for lost because of an outdated
+// list, and then replaces a later one of its key.
+func TestLostRecordFound(t *testing.T) {
+	now := time.Now().Unix()
+	sent := Record{Nonce: "1", State: StateSent, WrittenAt: now}
+	for name, stored := range map[string]Record{
+		"the same":      sent,
+		"has ended":     {Nonce: "1", State: StateDone, WrittenAt: now},
+		"granted again": {Nonce: "2", State: StateSent, WrittenAt: now},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newLossyStore(1, 0)
+			b := &bucket{store: store, lost: map[string]Record{"k": sent}}
+			_, err := store.Create(t.Context(), newSegmentObject(0, segment{Records: map[string]Record{"k": stored}}))
+			require.NoError(t, err)
+			require.NoError(t, b.load(t.Context()))
+			require.Empty(t, b.lost)
+			require.Equal(t, stored, b.current.Records["k"])
+		})
+	}
+}
+
 // keysOfBucket returns keys that are hashed into a bucket.
 func keysOfBucket(bucket, count int) []string {
 	var keys []string
