rwentry: a line when an instance begins or ceases to call the store itself

Nothing in the logs told a follower that waits for its watcher from one whose own call hangs. The line gives the peer, whether it responds, and the age and version of the settings; the gauge settings_age gives the age at any time.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -75,6 +75,7 @@
 
 	mu              sync.Mutex
 	storeFallbackAt time.Time // earliest time at which an instance that is not a watcher may call the store
+	fallback        bool      // this instance calls the store although it is not a watcher
 }
 
 func (f *feeds) build(i *Instance) {
@@ -144,8 +145,26 @@
 // store now. If its peers answer but have nothing newer, a random delay spreads
 // the calls of such instances.
 func (f *feeds) storeFallbackDue() bool {
+	age, _ := f.states.Age()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	due := f.storeFallbackDueLocked()
+	if due != f.fallback {
+		f.fallback = due
+		f.instance.Log.Info("source of the objects changed", "store", due, "peer", f.follower.Address(), "responds", f.follower.PeerResponded(), "age", age.Seconds(), "version", f.version())
+	}
+	return due
+}
+
+// version returns the version of the desired state in force, or zero if there is none.
+func (f *feeds) version() int64 {
+	if table := f.desiredState.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+func (f *feeds) storeFallbackDueLocked() bool {
 	if f.follower.Following() {
 		f.storeFallbackAt = time.Time{}
 		return false
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -27,6 +27,9 @@
 	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		i.counters.Write(w)
 		_, _ = fmt.Fprintf(w, "ragwortwall_store_era %d\n", i.Stores.Era.Current())
+		if age, known := i.feeds.states.Age(); known {
+			_, _ = fmt.Fprintf(w, "ragwortwall_settings_age %d\n", age.Milliseconds())
+		}
 	})
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -192,6 +192,13 @@
 	return time.Since(f.lastResponse) < 2*(followWait+followTimeoutMargin)
 }
 
+// Address returns the address of the connected peer, or an empty string.
+func (f *Follower) Address() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.address
+}
+
 // Run polls peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.closeConn()
