rwfeed: followers leave watchers that the store doesn't answer

Cause: a follower took a watcher that had lost the store for a store without changes. The bound on its wait was a sum: the watcher's time-out (2.1 s), the age up to which a peer's contents are useful (2.8 s), one poll (1.7 s), a random delay (0.9 s and more). Change: a watcher whose call is overdue (wait + 0.3 s) or fails for 0.25 s tells its followers, which end their calls, ask other instances without waiting, and call the store themselves within what SettingsBound leaves. Only instances that the store answers are followed, so that none confirms another in a circle. The first call of such an instance doesn't wait for a change, which also confirms its keys.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -34,9 +34,18 @@
 	// peerFallbackAge is the age of the desired state from which a watcher that gets
 	// no confirmation from the store also follows its peers.
 	peerFallbackAge = 1800 * time.Millisecond
-	// storeFallbackDelay is how long a follower waits for its peers before it watches
-	// the store itself.
+	// storeFallbackDelay is how long a new instance follows its peers before it may watch
+	// the store itself, if it has a desired state.
 	storeFallbackDelay = 900 * time.Millisecond
+	// storeCallReserve is kept of Settings.SettingsBound for the call to the store by an
+	// instance that has lost the peer that it followed.
+	storeCallReserve = 250 * time.Millisecond
+	// minFallbackSpread is the shortest time over which such instances spread their calls,
+	// and the one without Settings.SettingsBound.
+	minFallbackSpread = 100 * time.Millisecond
+	// maxOtherPeers is the number of instances without the role of a watcher that are
+	// asked beside the watchers: one of them may reach the store while no watcher does.
+	maxOtherPeers = 3
 	// startupFallbackDelay replaces storeFallbackDelay while an instance has no desired
 	// state yet. It is short because the seeds may be gone and callers are waiting.
 	startupFallbackDelay = 200 * time.Millisecond
@@ -70,6 +79,7 @@
 	stateWatcher             *rwfeed.Watcher // watches the desired state
 	follower                 rwfeed.Follower
 	peerServer               rwfeed.PeerServer
+	sourceChanged            rwfeed.Signal // the store or the followed peer no longer answers, or does again
 	instance                 *Instance
 	started                  time.Time
 
@@ -93,14 +103,15 @@
 	f.states.Outdated = f.desiredState.Outdated
 	f.servers.LostTTL, f.members.LostTTL, f.moves.LostTTL, f.quarantines.LostTTL = lostTTL, lostTTL, lostTTL, lostTTL
 	watch := func(cache *rwfeed.Cache, source rwfeed.Source, timeout, batchDelay time.Duration) *rwfeed.Watcher {
-		w := &rwfeed.Watcher{Cache: cache, Source: source, Era: i.Stores.Era, ShouldWatch: f.watchesStore, WatchWait: timeout, BatchDelay: batchDelay, Backoff: f.maxBackoff, Log: i.Log}
+		w := &rwfeed.Watcher{Cache: cache, Source: source, Era: i.Stores.Era, ShouldWatch: f.watchesStore, WatchWait: timeout, BatchDelay: batchDelay, Backoff: f.maxBackoff, Changed: &f.sourceChanged, Log: i.Log}
 		if stateWatcher := f.stateWatcher; stateWatcher != nil {
-			// While the store does not answer, only the watch on the desired state calls it.
+			// While the store does not answer, only the watch on the desired state calls it, and
+			// an instance that falls back to the store waits for the first response to that.
 			// An instance that has just started and falls back to the store gets the version
 			// moves and quarantines from its peers. It needs the list of instances at once: without it, all
 			// such instances would follow the few seeds.
 			w.ShouldWatch = func() bool {
-				return !stateWatcher.Failing() && (f.isWatcher() || f.storeFallbackDue() && (cache != &f.moves && cache != &f.quarantines || time.Since(f.started) > storeFallbackDelay))
+				return !stateWatcher.Failing() && (f.isWatcher() || stateWatcher.Current() && f.storeFallbackDue() && (cache != &f.moves && cache != &f.quarantines || time.Since(f.started) > storeFallbackDelay))
 			}
 		} else {
 			f.stateWatcher = w
@@ -115,8 +126,8 @@
 	watch(&f.quarantines, i.Stores.Quarantines, quarantinesWatchTimeout, 0)
 	f.serverList.StoreRecoveredAt, f.serverList.Age = servers.RecoveredAt, f.servers.Age
 	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves, &f.quarantines}
-	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: f.stale, Log: i.Log}
-	f.peerServer = rwfeed.PeerServer{Address: i.Settings.PeerAddress, Caches: caches, Log: i.Log}
+	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Lost: f.scheduleFallback, Wake: &f.sourceChanged, Log: i.Log}
+	f.peerServer = rwfeed.PeerServer{Address: i.Settings.PeerAddress, Caches: caches, Current: f.stateWatcher.Current, Changed: &f.sourceChanged, Log: i.Log}
 }
 
 func (f *feeds) loops() []func(context.Context) {
@@ -181,10 +192,25 @@
 	if f.storeFallbackAt.IsZero() {
 		f.storeFallbackAt = time.Now()
 		if f.follower.PeerResponded() {
-			f.storeFallbackAt = f.storeFallbackAt.Add(storeFallbackDelay + rand.N(f.maxBackoff()))
+			f.storeFallbackAt = f.storeFallbackAt.Add(rand.N(f.fallbackSpread()))
 		}
+		time.AfterFunc(time.Until(f.storeFallbackAt), f.sourceChanged.Notify)
 	}
-	return time.Now().After(f.storeFallbackAt)
+	return !time.Now().Before(f.storeFallbackAt)
+}
+
+// fallbackSpread returns the time over which instances spread their first calls to the
+// store after they have lost the peers that they followed: what Settings.SettingsBound
+// leaves after the longest time until that shows.
+func (f *feeds) fallbackSpread() time.Duration {
+	return max(minFallbackSpread, f.instance.Settings.SettingsBound-stateWatchTimeout-rwfeed.OverdueMargin-storeCallReserve)
+}
+
+// scheduleFallback wakes the watchers of an instance that has lost the peer that it
+// followed, so that they call the store if no other peer is found.
+func (f *feeds) scheduleFallback() {
+	f.storeFallbackDue()
+	f.sourceChanged.Notify()
 }
 
 func (f *feeds) isSeed() bool {
@@ -206,21 +232,29 @@
 // enough for a change to be in force within its time limit after an outage.
 const maxWatcherBackoff = 600 * time.Millisecond
 
-// stale reports whether this instance is a watcher whose last confirmation by the
-// store is older than peerFallbackAge.
+// stale reports whether this instance is a watcher that the store doesn't answer, or whose
+// last confirmation by the store is older than peerFallbackAge.
 func (f *feeds) stale() bool {
 	age, known := f.states.Age()
-	return f.instance.members.IsWatcher() && known && age >= peerFallbackAge
+	return f.instance.members.IsWatcher() && known && (age >= peerFallbackAge || !f.stateWatcher.Current())
 }
 
 // peersToFollow returns the addresses of the peers to follow now; none for a watcher
-// whose state is recent.
+// whose state is recent. The watchers come first, then a few of the other instances.
 func (f *feeds) peersToFollow() []string {
 	if _, known := f.states.Age(); known && f.instance.members.IsWatcher() && !f.stale() {
 		return nil
 	}
 	if watchers := f.instance.members.WatcherAddresses(); len(watchers) > 0 {
-		return watchers
+		others := f.instance.members.Others()
+		rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+		peers := watchers
+		for _, m := range others {
+			if len(peers) < len(watchers)+maxOtherPeers && m.PeerAddress != "" && !slices.Contains(watchers, m.PeerAddress) {
+				peers = append(peers, m.PeerAddress)
+			}
+		}
+		return peers
 	}
 	var seeds []string
 	for _, address := range f.instance.Settings.Seeds {
--- a/internal/rwentry/settings.go
+++ b/internal/rwentry/settings.go
@@ -22,6 +22,7 @@
 	StoreAddress      string        // address of the platform's store
 	MemoryLimit       int           // bytes that the process may use; zero for no limit
 	GracePeriod       time.Duration // from the stop signal to the kill
+	SettingsBound     time.Duration // within which acknowledged settings must be in force; zero for no bound
 	RevocationBound   time.Duration // within which a revoked API key must be refused; zero for no bound
 	DrainTimeout      time.Duration // within which a leaving server must get no more work
 	HeartbeatInterval time.Duration // of the backend servers
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlog"
 	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
@@ -26,6 +27,7 @@
 	Revisions  map[string]int64 `json:"have"`           // revisions of the follower's caches, by kind
 	Eras       map[string]int64 `json:"eras,omitempty"` // their eras, without those that are zero
 	WaitMillis int64            `json:"wait"`           // how long the peer waits for a change, in milliseconds
+	Current    bool             `json:"current"`        // the peer must not wait if the store doesn't answer it
 }
 
 func (r FollowRequest) position(kind string) Position {
@@ -35,6 +37,7 @@
 // FollowResponse holds the peer's newer objects, by kind.
 type FollowResponse struct {
 	Kinds map[string]KindUpdate `json:"kinds"`
+	Away  bool                  `json:"away,omitempty"` // the store doesn't answer the peer now
 }
 
 // KindUpdate holds the changes of one kind.
@@ -50,6 +53,8 @@
 type PeerServer struct {
 	Address string
 	Caches  []*Cache
+	Current func() bool // reports whether the store answers this instance itself; nil for always
+	Changed *Signal     // notified when Current changes; may be nil
 	Log     logr.Logger
 
 	fullResponses atomic.Int32 // number of responses with all objects that are being sent
@@ -87,7 +92,7 @@
 	}
 	receivedAt := rwtime.Now()
 	s.waitForChange(stream.Context(), request)
-	response := FollowResponse{Kinds: map[string]KindUpdate{}}
+	response := FollowResponse{Kinds: map[string]KindUpdate{}, Away: !s.current()}
 	if s.needsAllObjects(request) {
 		defer s.fullResponses.Add(-1)
 		if s.fullResponses.Add(1) > maxFullResponses {
@@ -120,11 +125,29 @@
 	return stream.CloseSend()
 }
 
+func (s *PeerServer) current() bool { return s.Current == nil || s.Current() }
+
 // waitForChange blocks until one of the kinds has changed or the requested wait is over.
+// A follower that reads only from current peers doesn't wait for one that is not.
 func (s *PeerServer) waitForChange(ctx context.Context, request FollowRequest) {
 	ctx, cancel := context.WithTimeout(ctx, min(maxFollowWait, time.Duration(request.WaitMillis)*time.Millisecond))
 	defer cancel()
 	var wg sync.WaitGroup
+	if request.Current {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				changed := s.Changed.Wait()
+				if !s.current() {
+					cancel()
+					return
+				}
+				select {
+				case <-ctx.Done():
+				case <-changed:
+				}
+			}
+		})
+	}
 	for _, cache := range s.Caches {
 		wg.Go(func() {
 			cache.waitForChange(ctx, request.position(cache.Kind))
@@ -141,10 +164,14 @@
 	Era    *Era            // records the eras that peers have seen
 	Peers  func() []string // addresses to try, the best first; empty if no peer is needed
 	NoWait func() bool     // reports whether peers must answer without waiting for a change; nil for never
+	Lost   func()          // called when this instance has no current peer to follow any more; may be nil
+	Wake   *Signal         // ends the pauses between rounds over the peers; may be nil
 	Log    logr.Logger
 
 	mu           sync.Mutex
-	lastUseful   time.Time // of the last useful response
+	following    bool      // the connected peer is current and responds in time
+	searching    bool      // it was, and no other one has been found since
+	next         int       // index of the first peer of the next round, while searching
 	lastResponse time.Time // of the last response, useful or not
 	address      string    // of the peer that conn leads to; empty if there is none
 	conn         *drpcconn.Conn
@@ -159,9 +186,12 @@
 	bootstrapFollowWait = 100 * time.Millisecond
 	// minFollowBackoff is the pause after the first round over all peers without a
 	// useful response. It is short as callers may be waiting and the peers may have
-	// just started too. The pause doubles each time, up to roleCheckInterval, and is not
-	// reset.
+	// just started too. The pause doubles each time, up to roleCheckInterval, or to
+	// maxSearchBackoff after a peer was lost.
 	minFollowBackoff = 20 * time.Millisecond
+	maxSearchBackoff = time.Second
+	// maxSearchPeers limits the peers of one round of a search.
+	maxSearchPeers = 6
 	// followTimeoutMargin is added to followWait, for the response.
 	followTimeoutMargin = 700 * time.Millisecond
 	// peerDialTimeout limits connecting to a peer.
@@ -177,11 +207,32 @@
 	followBatchDelay = 100 * time.Millisecond
 )
 
-// Following reports whether a peer gave a useful response within the time of one poll.
+// Following reports whether the connected peer gives useful responses in time.
 func (f *Follower) Following() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.lastUseful) < followWait+followTimeoutMargin
+	return f.following
+}
+
+func (f *Follower) setFollowing(following bool, cause string) {
+	f.mu.Lock()
+	lost := f.following && !following
+	f.following = following
+	if following {
+		f.searching = false
+	}
+	if lost {
+		f.searching, f.next = true, 0
+	}
+	address := f.address
+	f.mu.Unlock()
+	if !lost {
+		return
+	}
+	f.Log.V(rwlog.Routine).Info("no longer following", "address", address, "cause", cause)
+	if f.Lost != nil {
+		f.Lost()
+	}
 }
 
 // PeerResponded reports whether a peer responded within the time of two polls, even
@@ -204,29 +255,51 @@
 	defer f.closeConn()
 	backoff := minFollowBackoff
 	for ctx.Err() == nil {
+		wake := f.Wake.Wait()
+		peers, searching := f.orderedPeers()
+		if len(peers) == 0 {
+			f.setFollowing(false, "not a follower")
+		}
 		useful := false
-		for _, address := range f.orderedPeers() {
+		for _, address := range peers {
 			if useful = f.poll(ctx, address); useful || ctx.Err() != nil {
 				break
 			}
 		}
-		if !useful {
-			rwtime.Sleep(ctx, backoff)
-			backoff = min(2*backoff, roleCheckInterval)
+		if useful {
+			continue
+		}
+		f.setFollowing(false, "no useful response")
+		longest := roleCheckInterval
+		if searching {
+			longest = maxSearchBackoff
+		}
+		if sleepUntil(ctx, min(backoff, longest), wake) {
+			backoff = min(2*backoff, maxSearchBackoff)
+		} else {
+			backoff = minFollowBackoff
 		}
 	}
 }
 
-// orderedPeers returns the peers to try. The one that is connected comes first if it is
-// still among them and the last useful response is recent.
-func (f *Follower) orderedPeers() []string {
+// orderedPeers returns the peers to try, and whether the last one was lost. The one that
+// is connected comes first if it is still among them, or is current. A search takes the
+// peers in turn, maxSearchPeers in each round.
+func (f *Follower) orderedPeers() ([]string, bool) {
 	peers := f.Peers()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := slices.Index(peers, f.address); at > 0 && time.Since(f.lastUseful) < followWait+followTimeoutMargin {
+	switch at := slices.Index(peers, f.address); {
+	case f.searching && len(peers) > maxSearchPeers:
+		start := f.next % len(peers)
+		f.next = start + maxSearchPeers
+		return slices.Concat(peers[start:], peers[:start])[:maxSearchPeers], true
+	case at > 0 && f.following:
 		peers = append([]string{f.address}, slices.Delete(peers, at, at+1)...)
+	case at < 0 && f.following && len(peers) > 0:
+		peers = append([]string{f.address}, peers...)
 	}
-	return peers
+	return peers, f.searching
 }
 
 // poll asks one peer for changes once and reports whether the response was useful: each
@@ -235,7 +308,7 @@
 func (f *Follower) poll(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeoutMargin)
 	defer cancel()
-	request := FollowRequest{Revisions: map[string]int64{}, Eras: map[string]int64{}, WaitMillis: followWait.Milliseconds()}
+	request := FollowRequest{Revisions: map[string]int64{}, Eras: map[string]int64{}, WaitMillis: followWait.Milliseconds(), Current: true}
 	for _, cache := range f.Caches {
 		position := cache.Position()
 		request.Revisions[cache.Kind] = position.Revision
@@ -243,7 +316,7 @@
 			request.Eras[cache.Kind] = position.Era
 		}
 		if cache.missingRequired() {
-			request.WaitMillis = bootstrapFollowWait.Milliseconds()
+			request.WaitMillis, request.Current = bootstrapFollowWait.Milliseconds(), false
 		}
 	}
 	maxStaleness := maxPeerStaleness
@@ -251,7 +324,11 @@
 		// The peer may have lost the store too. Without waiting, all peers are asked
 		// until one is found that has newer contents.
 		request.WaitMillis, maxStaleness = 0, maxPeerStalenessNoWait
+	} else if f.isSearching() {
+		request.WaitMillis = 0
 	}
+	overdue := time.AfterFunc(time.Duration(request.WaitMillis)*time.Millisecond+OverdueMargin, func() { f.setFollowing(false, "response overdue") })
+	defer overdue.Stop()
 	sentAt := rwtime.Now()
 	var response FollowResponse
 	if err := f.call(ctx, address, &request, &response); err != nil {
@@ -264,7 +341,7 @@
 	f.mu.Lock()
 	f.lastResponse = time.Now()
 	f.mu.Unlock()
-	useful, missing, changed := true, false, false
+	useful, missing, changed := !response.Away, false, false
 	for _, cache := range f.Caches {
 		update := response.Kinds[cache.Kind]
 		f.Era.Observe(update.Era)
@@ -275,9 +352,7 @@
 		changed = changed || accepted && len(update.Changes) > 0
 	}
 	if useful {
-		f.mu.Lock()
-		f.lastUseful = time.Now()
-		f.mu.Unlock()
+		f.setFollowing(true, "")
 	}
 	if missing {
 		return false // another peer may have the missing kind
@@ -288,6 +363,12 @@
 	return useful
 }
 
+func (f *Follower) isSearching() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.searching
+}
+
 // call sends a request to a peer over the open connection. If there is none, or it
 // leads to another peer, call opens a new one.
 func (f *Follower) call(ctx context.Context, address string, request *FollowRequest, response *FollowResponse) error {
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlog"
 	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
@@ -25,6 +26,12 @@
 const (
 	listTimeout        = 1500 * time.Millisecond // many times the response time of a slow store
 	watchTimeoutMargin = 900 * time.Millisecond  // added to the requested wait, for the response
+	// OverdueMargin is how long after the requested wait a response counts as overdue, of
+	// the store and of a peer. It is longer if the last response took longer.
+	OverdueMargin = 300 * time.Millisecond
+	// failureGrace is how long calls must fail until a watcher no longer counts as current:
+	// a single call that is turned away must not make all followers look elsewhere.
+	failureGrace = 250 * time.Millisecond
 	// minBackoff and maxBackoff limit the pause after a failed call. A longer pause
 	// would delay changes after an outage beyond the time in which they must apply.
 	minBackoff = 50 * time.Millisecond
@@ -45,22 +52,27 @@
 	WatchWait   time.Duration        // how long a watch call waits for a change; the store confirms the cache this often
 	BatchDelay  time.Duration        // pause after a watch call that returned changes, so that changes come in batches
 	Backoff     func() time.Duration // pause after a failed call, used if longer than maxBackoff; may be nil
+	Changed     *Signal              // notified when Current changes; ends the pauses between calls; may be nil
 	Log         logr.Logger
 
 	needsList bool // the next call must be a list
 
 	mu           sync.Mutex
-	failingSince time.Time // of the first failed call in a row; zero if the last call succeeded
-	recoveredAt  time.Time // first successful call after the last outage; zero if there was none
+	current      bool
+	overrun      time.Duration // how long after the requested wait the last response came
+	failing      *time.Timer   // ends current after failureGrace
+	failingSince time.Time     // of the first failed call in a row; zero if the last call succeeded
+	recoveredAt  time.Time     // first successful call after the last outage; zero if there was none
 }
 
 // Run watches the store until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	backoff := minBackoff
-	w.needsList = true
 	for ctx.Err() == nil {
+		changed := w.Changed.Wait()
 		if !w.ShouldWatch() {
-			rwtime.Sleep(ctx, roleCheckInterval)
+			w.setCurrent(false, "not watching")
+			sleepUntil(ctx, roleCheckInterval, changed)
 			continue
 		}
 		sentAt := rwtime.Now()
@@ -84,12 +96,43 @@
 			if w.Backoff != nil && w.Backoff() > maxBackoff {
 				backoff = w.Backoff()
 			}
-			rwtime.Sleep(ctx, backoff/2+rand.N(backoff/2))
-			backoff = min(2*backoff, maxBackoff)
+			if sleepUntil(ctx, backoff/2+rand.N(backoff/2), w.Changed.Wait()) {
+				backoff = min(2*backoff, maxBackoff)
+			} else {
+				backoff = minBackoff
+			}
 		}
 	}
 }
 
+// Current reports whether the store answers this watcher in time, so that the cache has
+// each change soon after the store. It doesn't if the open call is overdue, or calls have
+// failed for failureGrace.
+func (w *Watcher) Current() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current
+}
+
+func (w *Watcher) setCurrent(current bool, cause string) {
+	w.mu.Lock()
+	changed := w.current != current
+	w.current = current
+	w.mu.Unlock()
+	if changed {
+		w.Log.V(rwlog.Routine).Info("watch of the store", "kind", w.Cache.Kind, "current", current, "cause", cause, "revision", w.Cache.Position().Revision)
+		w.Changed.Notify()
+	}
+}
+
+// overdueMargin returns the margin after which the open call is overdue. A store that
+// answered late but in time gets more, so that a slow one isn't taken for one that is away.
+func (w *Watcher) overdueMargin() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(watchTimeoutMargin, max(OverdueMargin, 2*w.overrun))
+}
+
 // call lists the objects if that is necessary, and otherwise watches for changes after
 // the cached revision. raised reports that a higher era was seen meanwhile, which ends
 // the call.
@@ -98,10 +141,22 @@
 	defer cancel()
 	position := w.Cache.Position()
 	wait := w.WatchWait
-	if w.Failing() {
-		wait = 0 // an immediate response shows that the store has recovered
+	if !w.Current() {
+		wait = 0 // an immediate response confirms the contents, and that the store answers
+	}
+	list := w.needsList || position.Revision == 0 || position.Era < era
+	if list {
+		wait = 0
 	}
-	if w.needsList || position.Revision == 0 || position.Era < era {
+	overdue := time.AfterFunc(wait+w.overdueMargin(), func() { w.setCurrent(false, "no response") })
+	defer overdue.Stop()
+	sentAt := time.Now()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.overrun = max(0, time.Since(sentAt)-wait)
+	}()
+	if list {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		batch, err = w.Source.List(ctx)
@@ -122,6 +177,7 @@
 	w.recordSuccess(batch.Revision)
 	if w.Cache.Update(batch, sentAt) {
 		w.needsList = false
+		w.setCurrent(true, "response")
 		return
 	}
 	if have := w.Cache.Position(); batch.Position().Before(have) {
@@ -137,6 +193,9 @@
 	if w.failingSince.IsZero() {
 		return
 	}
+	if w.failing != nil {
+		w.failing.Stop()
+	}
 	if outage := time.Since(w.failingSince); outage > outageThreshold {
 		w.Log.Info("store recovered", "kind", w.Cache.Kind, "away", outage.Seconds(), "revision", revision)
 		w.recoveredAt = time.Now()
@@ -150,10 +209,17 @@
 	defer w.mu.Unlock()
 	if w.failingSince.IsZero() {
 		w.failingSince = time.Now()
+		w.failing = time.AfterFunc(failureGrace, w.endCurrentIfFailing)
 		w.Log.Info("store call failed", "kind", w.Cache.Kind, "cause", err.Error(), "revision", w.Cache.Position().Revision)
 	}
 }
 
+func (w *Watcher) endCurrentIfFailing() {
+	if w.Failing() {
+		w.setCurrent(false, "failing calls")
+	}
+}
+
 // Failing reports whether the last call to the store failed.
 func (w *Watcher) Failing() bool {
 	w.mu.Lock()
