rwsettings: a watch is short, and watchers that the platform doesn't answer leave their role

A watch on a silent connection looked like a platform without changes for up to 45 s, and an instance that is not a watcher never called the platform, so that nobody learnt of a change while all watchers were cut. Change: watches last 1 s (timeoutSeconds) and are overdue after 1.5 s; a watcher tells its zone whether the platform answers it (Digest.away), and View.Watchers leaves out those that it doesn't.

--- a/internal/rwmember/view.go
+++ b/internal/rwmember/view.go
@@ -30,6 +30,7 @@
 
 	Incarnation uint64
 	Leaving     bool
+	Away        bool      // the platform does not answer it
 	Heard       time.Time // when this or another instance last heard from it
 	Reached     time.Time // start of the last call to it that was answered
 	listed      bool      // in the platform's list
@@ -44,6 +45,7 @@
 	mu           sync.Mutex
 	members      map[string]*Member
 	leaving      bool
+	away         bool
 	membersKnown bool      // the platform's list has arrived, or the process settings name peers
 	liveChanged  time.Time // when lastLive was set
 	lastLive     []string  // last result of Live
@@ -159,6 +161,32 @@
 	return v.leaving
 }
 
+// MarkAway records whether the platform does not answer this instance. It reports whether
+// that has changed.
+func (v *View) MarkAway(away bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.away != away
+	v.away = away
+	return changed
+}
+
+// Away reports whether the platform does not answer this instance.
+func (v *View) Away() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.away
+}
+
+// RecordAway records whether the platform does not answer a member, by its own word.
+func (v *View) RecordAway(name string, away bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m, ok := v.members[name]; ok {
+		m.Away = away
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -290,16 +318,25 @@
 
 // Watchers returns up to n live members of this instance's zone that watch the
 // settings in the store. They are chosen by rendezvous hash, so all instances of the
-// zone choose the same ones.
+// zone choose the same ones. Members that the platform does not answer are not chosen,
+// unless it answers none.
 func (v *View) Watchers(n int) []string {
 	live := v.Live()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var zone []string
+	var zone, answered []string
 	for _, name := range live {
-		if name == v.self.Name || v.members[name] != nil && v.members[name].Zone == v.self.Zone {
-			zone = append(zone, name)
+		m := v.members[name]
+		if name != v.self.Name && (m == nil || m.Zone != v.self.Zone) {
+			continue
 		}
+		zone = append(zone, name)
+		if name == v.self.Name && !v.away || m != nil && !m.Away {
+			answered = append(answered, name)
+		}
+	}
+	if len(answered) > 0 {
+		zone = answered
 	}
 	ranked := Rank(Key("watch"), zone)
 	return ranked[:min(n, len(ranked))]
--- a/internal/rwplatform/client.go
+++ b/internal/rwplatform/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -151,10 +152,11 @@
 }
 
 // Watch calls visit with each change to the objects of a kind after a revision. It
-// returns an error when ctx ends, the stream breaks or visit returns one, and
-// ErrCompacted when the platform no longer has the revision.
-func (c *Client) Watch(ctx context.Context, kind rwobject.Kind, revision string, visit func(rwobject.Event) error) error {
-	path := string(kind) + "?watch=true&resourceVersion=" + url.QueryEscape(revision)
+// returns nil when the platform ends the watch after about period, and an error when ctx
+// ends, the stream breaks or visit returns one, and ErrCompacted when the platform no
+// longer has the revision.
+func (c *Client) Watch(ctx context.Context, kind rwobject.Kind, revision string, period time.Duration, visit func(rwobject.Event) error) error {
+	path := string(kind) + "?watch=true&resourceVersion=" + url.QueryEscape(revision) + "&timeoutSeconds=" + strconv.Itoa(int(period.Seconds()))
 	response, err := c.send(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
@@ -166,7 +168,9 @@
 	decoder := json.NewDecoder(response.Body)
 	for {
 		var event rwobject.Event
-		if err := decoder.Decode(&event); err != nil {
+		if err := decoder.Decode(&event); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
 			return unavailableError(http.MethodGet, err)
 		}
 		if event.Type == "ERROR" {
--- a/internal/rwserve/exchange.go
+++ b/internal/rwserve/exchange.go
@@ -85,6 +85,7 @@
 		Instance:    i.Config.Name,
 		Incarnation: i.incarnation,
 		Leaving:     i.view.Leaving(),
+		Away:        i.view.Away(),
 		Settings:    i.settings.Tree().Digest(),
 		Heard:       i.heardEntries(),
 	}
@@ -157,6 +158,7 @@
 // applyDigest applies a peer's digest. It fetches the settings from the peer's
 // address if they differ.
 func (i *Instance) applyDigest(ctx context.Context, d *rwwire.Digest, address string) {
+	i.view.RecordAway(d.Instance, d.Away)
 	i.slots.UpdateLoads(d.Loads)
 	for _, h := range d.Heard {
 		i.view.RecordIndirect(h.Instance, h.Incarnation, time.Duration(h.Age)*time.Millisecond)
@@ -180,6 +182,23 @@
 	return &rwwire.Verdict{Move: v.Move, Begun: v.Begun.UnixNano(), Reason: v.Reason}
 }
 
+// announceAway tells the other instances of the zone at once whether the platform answers
+// this one, as that decides which of them watch the settings.
+func (i *Instance) announceAway() {
+	ctx, cancel := context.WithTimeout(context.Background(), rwmember.ExchangeTimeout)
+	d := i.digest()
+	var wg sync.WaitGroup
+	for _, m := range i.view.Reachable() {
+		if m.Zone == i.Config.Zone {
+			wg.Go(func() { _, _ = i.peers.InstanceClient(m.Address).Exchange(ctx, d) })
+		}
+	}
+	go func() {
+		wg.Wait()
+		cancel()
+	}()
+}
+
 // sendVerdict sends a verdict about a version move at once to all reachable
 // instances.
 func (i *Instance) sendVerdict(v rwmove.Verdict) {
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -88,7 +88,7 @@
 	engines := &rwengine.Client{HTTP: httpClient, Streams: rwnet.UnpooledHTTPClient(i.Network)}
 	i.platform = &rwplatform.Client{URL: i.Config.Platform, HTTP: httpClient, Timeout: platformTimeout}
 	i.view = rwmember.NewView(i.Config.Peer(), i.Config.Peers)
-	i.settings = &rwsettings.Follower{Platform: i.platform, View: i.view, Peers: i.peers.InstanceClient, Log: i.Log.WithName("settings")}
+	i.settings = &rwsettings.Follower{Platform: i.platform, View: i.view, Peers: i.peers.InstanceClient, OnAway: i.announceAway, Log: i.Log.WithName("settings")}
 	i.owner = &rwslot.Owner{View: i.view, Tree: i.settings.Tree, Engines: engines, Log: i.Log.WithName("owner")}
 	i.slots = &rwslot.Client{View: i.view, Owner: i.owner, Peers: i.peers.InstanceClient, Log: i.Log.WithName("slots")}
 	i.suspicions = &rwpoison.Registry{}
--- a/internal/rwsettings/follower.go
+++ b/internal/rwsettings/follower.go
@@ -30,12 +30,18 @@
 	pushTimeout       = 700 * time.Millisecond
 	relistInterval    = 30 * time.Second
 	maxFetchPeers     = 3
+	// watchPeriod is how long one watch lasts, and watchMargin how much later its end may
+	// come: a connection that falls silent looks like a platform without changes.
+	watchPeriod = time.Second
+	watchMargin = 500 * time.Millisecond
+	// listTimeout limits a list by a watcher.
+	listTimeout = 1500 * time.Millisecond
 )
 
 // Platform is the part of the platform's API that the follower needs.
 type Platform interface {
 	List(ctx context.Context, kind rwobject.Kind) ([]rwobject.Object, string, error)
-	Watch(ctx context.Context, kind rwobject.Kind, revision string, visit func(rwobject.Event) error) error
+	Watch(ctx context.Context, kind rwobject.Kind, revision string, period time.Duration, visit func(rwobject.Event) error) error
 }
 
 // Restorer writes settings in force again that the platform has lost. It returns the
@@ -51,6 +57,7 @@
 	View     *rwmember.View
 	Peers    func(address string) rwwire.DRPCInstanceClient
 	Restorer Restorer
+	OnAway   func() // called when View.Away of this instance has changed; may be nil
 	Log      logr.Logger
 
 	mu            sync.Mutex
@@ -121,11 +128,12 @@
 }
 
 // Run watches the platform until ctx ends, while this instance is one of its
-// zone's watchers or has no settings yet.
+// zone's watchers or has no settings yet. A watcher that the platform does not answer
+// leaves its role to others, and tries on until it is answered.
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if !f.isWatcher() && !f.Tree().Empty() {
+		if !f.isWatcher() && !f.Tree().Empty() && !f.View.Away() {
 			rwtime.Sleep(ctx, roleCheckInterval)
 			continue
 		}
@@ -155,15 +163,40 @@
 // relistInterval. Run calls it again, so that a new list recovers changes which
 // the watch lost.
 func (f *Follower) watchPlatform(ctx context.Context) error {
-	objects, revision, err := f.Platform.List(ctx, rwobject.KindSettings)
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	objects, revision, err := f.Platform.List(listCtx, rwobject.KindSettings)
+	cancel()
+	f.setAway(ctx, err != nil)
 	if err != nil {
 		return err
 	}
 	f.pushToZone(ctx, f.ApplyNewer(objects...))
 	f.restoreLost(ctx, objects)
-	ctx, cancel := context.WithTimeout(ctx, withJitter(relistInterval))
+	for relistAt := time.Now().Add(withJitter(relistInterval)); time.Now().Before(relistAt) && ctx.Err() == nil; {
+		begun := time.Now()
+		err := f.watchOnce(ctx, &revision)
+		if errors.Is(err, errNotWatcher) || errors.Is(err, rwplatform.ErrCompacted) {
+			return nil
+		}
+		f.setAway(ctx, err != nil)
+		if err != nil || !f.isWatcher() {
+			return err
+		}
+		// A platform that ends watches early must not be called without a pause.
+		rwtime.Sleep(ctx, min(minRetryDelay, watchPeriod-time.Since(begun)))
+	}
+	return nil
+}
+
+// watchOnce watches the changes after a revision for watchPeriod, and sets the revision
+// from which to watch next.
+func (f *Follower) watchOnce(ctx context.Context, revision *string) error {
+	ctx, cancel := context.WithTimeout(ctx, watchPeriod+watchMargin)
 	defer cancel()
-	err = f.Platform.Watch(ctx, rwobject.KindSettings, revision, func(e rwobject.Event) error {
+	return f.Platform.Watch(ctx, rwobject.KindSettings, *revision, watchPeriod, func(e rwobject.Event) error {
+		if e.Object.Metadata.ResourceVersion != "" {
+			*revision = e.Object.Metadata.ResourceVersion
+		}
 		switch e.Type {
 		case "ADDED", "MODIFIED":
 			f.pushToZone(ctx, f.ApplyNewer(e.Object))
@@ -180,10 +213,18 @@
 		}
 		return nil
 	})
-	if ctx.Err() != nil || errors.Is(err, errNotWatcher) || errors.Is(err, rwplatform.ErrCompacted) {
-		return nil
+}
+
+// setAway records whether the platform answers this instance, and tells the others when
+// that has changed.
+func (f *Follower) setAway(ctx context.Context, away bool) {
+	if ctx.Err() != nil || !f.View.MarkAway(away) {
+		return
+	}
+	f.Log.Info("the platform answers", "answers", !away)
+	if f.OnAway != nil {
+		f.OnAway()
 	}
-	return err
 }
 
 // pushToZone pushes objects to the other instances of the zone.
--- a/internal/rwstandin/platform.go
+++ b/internal/rwstandin/platform.go
@@ -318,7 +318,8 @@
 }
 
 // serveWatch sends the events of a kind after a resource version as they occur, until the caller
-// leaves, an outage begins, or events after the version are no longer kept.
+// leaves, timeoutSeconds are over, an outage begins, or events after the version are no longer
+// kept.
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
 	revision, err := strconv.Atoi(r.URL.Query().Get("resourceVersion"))
 	if err != nil {
@@ -328,6 +329,10 @@
 	p.mu.Lock()
 	restores, known := p.restores, revision <= p.revision
 	p.mu.Unlock()
+	var timeout <-chan time.Time
+	if seconds, err := strconv.Atoi(r.URL.Query().Get("timeoutSeconds")); err == nil && seconds > 0 {
+		timeout = time.After(time.Duration(seconds) * time.Second)
+	}
 	encoder := json.NewEncoder(w)
 	flush := http.NewResponseController(w).Flush
 	w.WriteHeader(http.StatusOK)
@@ -352,6 +357,8 @@
 		case <-changed:
 		case <-r.Context().Done():
 			return
+		case <-timeout:
+			return
 		case <-time.After(bookmarkInterval):
 			if encoder.Encode(rwobject.Event{Type: "BOOKMARK"}) != nil {
 				return
