--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -12,6 +12,7 @@
 
 	"ragwortwall/internal/rwentry"
 	"ragwortwall/internal/rwlog"
+	"ragwortwall/internal/rwpath"
 	"ragwortwall/platform"
 )
 
@@ -38,8 +39,9 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	store := platform.NewStore(settings.StoreAddress)
+	dialer := &rwpath.Dialer{}
 	instance := &rwentry.Instance{
-		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Engines: platform.NewEngines(), Log: log,
+		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Engines: platform.NewEngines(dialer.Dial), Dialer: dialer, Log: log,
 		Stores:      rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store), Moves: platform.NewMoves(store), Quarantines: platform.Quarantines(store), Era: &store.Era},
 		DecodeState: platform.DecodeState, DecodeServer: platform.DecodeServer, DecodeMove: platform.DecodeMove,
 	}
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -17,6 +17,7 @@
 	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpart"
+	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpeer"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
@@ -75,6 +76,7 @@
 	DecodeMove   func(c rwfeed.Change) (rwversion.Move, error)
 	Wire         rwforward.HeaderCodec
 	Engines      rwforward.EngineClient
+	Dialer       *rwpath.Dialer // connects to the backend servers
 	Log          logr.Logger
 
 	feeds     feeds
@@ -109,8 +111,9 @@
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
+	i.pool.Dial, i.probe.Dial = i.Dialer.Dial, i.Dialer.Dial
 	i.forwarder = &rwforward.Forwarder{
-		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
+		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Dialer: i.Dialer, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -149,7 +149,7 @@
 func (f *Forwarder) probeServer(e rwbackend.Entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	if accepted, _ := rwlink.TryConnect(ctx, e.Address, dialTimeout/2); accepted {
+	if accepted, _ := rwlink.TryConnect(ctx, f.Dialer.Dial, e.Address, dialTimeout/2); accepted {
 		return
 	}
 	f.Log.Info("server unreachable after other losses in its zone", "server", e.ID, "zone", e.Zone)
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -108,7 +108,7 @@
 // crash it; the reason is empty if it did, as far as can be told.
 func (c *call) judgeLoss(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
 	if c.f.Directory.Fate(server, since) == rwbackend.FateUnknown {
-		if accepted, _ := rwlink.TryConnect(context.Background(), server.Address, dialTimeout/2); accepted {
+		if accepted, _ := rwlink.TryConnect(context.Background(), c.f.Dialer.Dial, server.Address, dialTimeout/2); accepted {
 			return false, lossAccepts
 		}
 		return true, c.otherCause(server, since)
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -16,6 +16,7 @@
 	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpart"
+	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
@@ -66,6 +67,7 @@
 	Directory        *rwbackend.Directory
 	Pool             *rwlink.Pool
 	Probe            *rwlink.Prober
+	Dialer           *rwpath.Dialer
 	Versions         *rwversion.Moves
 	Wire             HeaderCodec
 	Engines          EngineClient
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -55,14 +55,21 @@
 // ErrHeadTooLong is returned if the head of a response is longer than 64 KiB.
 var ErrHeadTooLong = rwerror.New(rwerror.KindFailed, "check the backend server", "the head of the response is longer than 64 KiB")
 
-// Dial connects to a server at an address of the form host:port.
-func Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
+// DialFunc connects to a server at an address of the form host:port.
+type DialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP is the DialFunc that opens a TCP connection.
+func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// orTCP returns the function, or DialTCP if it is nil.
+func (f DialFunc) orTCP() DialFunc {
+	if f == nil {
+		return DialTCP
 	}
-	return New(c, address), nil
+	return f
 }
 
 // New wraps an open connection to a server.
@@ -76,10 +83,9 @@
 
 // TryConnect tries to connect to an address. accepted reports whether the connection
 // was established, answered whether the attempt ended before the timeout, with a
-// connection or an error such as a refusal.
-func TryConnect(ctx context.Context, address string, timeout time.Duration) (accepted, answered bool) {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+// connection or an error such as a refusal. A nil dial opens a TCP connection.
+func TryConnect(ctx context.Context, dial DialFunc, address string, timeout time.Duration) (accepted, answered bool) {
+	c, err := dial.orTCP()(ctx, address, timeout)
 	if err == nil {
 		_ = c.Close()
 		return true, true
--- a/internal/rwlink/conn_test.go
+++ b/internal/rwlink/conn_test.go
@@ -168,11 +168,11 @@
 func TestTryConnect(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	accepted, answered := TryConnect(context.Background(), l.Addr().String(), time.Minute)
+	accepted, answered := TryConnect(context.Background(), nil, l.Addr().String(), time.Minute)
 	require.True(t, accepted)
 	require.True(t, answered)
 	require.NoError(t, l.Close())
-	accepted, answered = TryConnect(context.Background(), l.Addr().String(), time.Minute)
+	accepted, answered = TryConnect(context.Background(), nil, l.Addr().String(), time.Minute)
 	require.False(t, accepted)
 	require.True(t, answered, "a refused connection is an answer")
 }
--- a/internal/rwlink/pool.go
+++ b/internal/rwlink/pool.go
@@ -13,6 +13,8 @@
 // Pool holds idle connections for reuse. It is safe for concurrent use; the zero
 // value is ready to use.
 type Pool struct {
+	Dial DialFunc // set before first use; nil for TCP
+
 	mu   sync.Mutex
 	idle map[string][]*Conn // by address; the most recently used last
 }
@@ -34,8 +36,11 @@
 		}
 		c.Close()
 	}
-	c, err = Dial(ctx, address, timeout)
-	return c, false, err
+	raw, err := p.Dial.orTCP()(ctx, address, timeout)
+	if err != nil {
+		return nil, false, err
+	}
+	return New(raw, address), false, nil
 }
 
 // take removes and returns the connection that became idle last, or nil if there is none.
--- a/internal/rwlink/probe.go
+++ b/internal/rwlink/probe.go
@@ -11,6 +11,8 @@
 // connection opens at once, the server is busy; if none opens, it is lost.
 // Prober is safe for concurrent use; the zero value is ready to use.
 type Prober struct {
+	Dial DialFunc // set before first use; nil for TCP
+
 	mu     sync.Mutex
 	probes map[string]*probeState
 }
@@ -76,7 +78,7 @@
 	began := time.Now()
 	reached := false
 	for range probeAttempts {
-		accepted, answered := TryConnect(context.Background(), address, probeTimeout)
+		accepted, answered := TryConnect(context.Background(), p.Dial, address, probeTimeout)
 		if reached = accepted; answered {
 			break
 		}
--- /dev/null
+++ b/internal/rwpath/doc.go
@@ -0,0 +1,2 @@
+// Package rwpath connects an instance to backend servers.
+package rwpath
