rwpath: connections through other instances while the own path to a service is broken

Cause: what an instance sees over its own path was taken for the state of the servers. Nothing led around the path, and losses, suspicions and evidence on versions were recorded and told to others. Change: servers of several zones that are not reached in a row put the path in doubt; another instance is asked to connect to one of them. If it does, the service's connections are relayed (one hop, a CONNECT request) until two direct ones succeed. The instance that has the caller decides on attempts, deadlines, budgets and refusals as before. Nothing counts against servers, versions or requests while the path is in doubt, and a server has ended only if others say so who can tell.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -129,6 +129,68 @@
 	return s.Entry, true
 }
 
+// AtAddress returns the entry of the listed server at an address.
+func (d *Directory) AtAddress(address string) (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		if s.Address == address {
+			return s.Entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Entries returns the entries of a service's servers, in a stable order, without those that
+// are leaving.
+func (d *Directory) Entries(service string) []Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries := make([]Entry, 0, len(d.services[service]))
+	for _, s := range d.services[service] {
+		if !s.isLeaving() {
+			entries = append(entries, s.Entry)
+		}
+	}
+	return entries
+}
+
+// AnotherServer returns the entry of another server of the same service that is not leaving, if
+// possible one in another availability zone that was not lost last.
+func (d *Directory) AnotherServer(id string) (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var from Entry
+	if s, ok := d.servers[id]; ok {
+		from = s.Entry
+	}
+	best, bestScore := Entry{}, 0
+	for _, s := range d.services[from.Service] {
+		if s.ID == id || s.isLeaving() {
+			continue
+		}
+		score := 1
+		if s.Zone != from.Zone {
+			score += 2
+		}
+		if s.receivedAt.After(s.lostAt) || s.lostAt.IsZero() {
+			score += 4
+		}
+		if score > bestScore {
+			best, bestScore = s.Entry, score
+		}
+	}
+	return best, bestScore > 0
+}
+
+// Accepts reports whether a server accepts new requests of this instance.
+func (d *Directory) Accepts(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.servers[id]
+	return ok && d.acceptsLocked(s, time.Now())
+}
+
 // Service returns views of the servers of a service that accept new requests: those that
 // are not leaving and don't want a pause.
 func (d *Directory) Service(name string) []View {
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -107,6 +107,19 @@
 	return first
 }
 
+// WithdrawLosses forgets the losses of a service's servers since a time: they were losses of
+// the path to them.
+func (d *Directory) WithdrawLosses(service string, since time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services[service] {
+		if s.lostAt.Before(since) {
+			continue
+		}
+		s.lostAt, s.suspectUntil, s.consecutiveLosses = time.Time{}, time.Time{}, 0
+	}
+}
+
 // MayStillHold reports whether a server may still hold data that was sent to it at the
 // given time: it is listed with the same incarnation and was not lost since.
 func (d *Directory) MayStillHold(id string, incarnation int64, since time.Time) bool {
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -111,7 +111,7 @@
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
-	i.pool.Dial, i.probe.Dial = i.Dialer.Dial, i.Dialer.Dial
+	relay := i.buildPaths()
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Dialer: i.Dialer, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
@@ -124,7 +124,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello) {
+	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, relay.Run) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx)
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -134,9 +134,13 @@
 }
 
 // markServerLost records and publishes the loss of a server. If several servers of its
-// zone were lost at about the same time, it probes the others.
-func (s *stream) markServerLost(server rwbackend.View) {
+// zone were lost at about the same time, it probes the others. Nothing is recorded if the
+// path to it may be what was lost.
+func (s *stream) markServerLost(server rwbackend.View, cause error) {
 	s.f.Pool.Drop(server.Address)
+	if s.pathMayBeLost(cause) {
+		return
+	}
 	if s.f.Directory.RecordLoss(server.ID) {
 		s.f.NotifyServerLost(server.ID)
 	}
@@ -152,6 +156,9 @@
 	if accepted, _ := rwlink.TryConnect(ctx, f.Dialer.Dial, e.Address, dialTimeout/2); accepted {
 		return
 	}
+	if f.Dialer.InDoubt(e.Service) {
+		return
+	}
 	f.Log.Info("server unreachable after other losses in its zone", "server", e.ID, "zone", e.Zone)
 	f.Pool.Drop(e.Address)
 	if f.Directory.RecordLoss(e.ID) {
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
-	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/pkg/rwset"
 
@@ -60,6 +60,7 @@
 	lossAccepts    lossReason = "accepts"    // its address accepts connections
 	lossLeaving    lossReason = "leaving"    // it was shutting down in order
 	lossUnlisted   lossReason = "unlisted"   // its entry was removed, so its end may have been in order
+	lossPath       lossReason = "path"       // the path of this instance to its service may have been lost
 )
 
 // reportLoss records that an exchange with a server ended without a complete response.
@@ -108,8 +109,12 @@
 // crash it; the reason is empty if it did, as far as can be told.
 func (c *call) judgeLoss(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
 	if c.f.Directory.Fate(server, since) == rwbackend.FateUnknown {
-		if accepted, _ := rwlink.TryConnect(context.Background(), c.f.Dialer.Dial, server.Address, dialTimeout/2); accepted {
+		switch c.f.Dialer.Check(context.Background(), server.Address, dialTimeout/2) {
+		case rwpath.ReachAccepts:
 			return false, lossAccepts
+		case rwpath.ReachUnknown:
+			return false, lossPath
+		case rwpath.ReachUnreached:
 		}
 		return true, c.otherCause(server, since)
 	}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -105,6 +105,7 @@
 	routeTimeoutApplies bool            // the deadline comes from the route's timeout, not from the caller
 	attempts            int             // servers that the request was sent to
 	tried               map[string]bool // ids of the servers that were chosen
+	relayed             bool            // the current attempt goes through another instance
 	retryPaid           bool            // the next retry has been taken from the budget
 	versionAttempt      *rwversion.Attempt
 	bufferedBytes       int64            // that this call has added to those of the Forwarder
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -11,6 +11,7 @@
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpick"
 	"ragwortwall/internal/rwroute"
 
@@ -114,6 +115,12 @@
 // errSlow ends an attempt at a slow server.
 var errSlow = errors.New("the server is slow, and another one can be asked")
 
+// pathMayBeLost reports whether the failure of an attempt may be one of the path to the server:
+// it counts against neither the server nor its version.
+func (c *call) pathMayBeLost(cause error) bool {
+	return !errors.Is(cause, rwpath.ErrServerUnreached) && (c.relayed || c.f.Dialer.InDoubt(c.service.Name))
+}
+
 // notRunError is returned if a server did not run the request.
 func notRunError(server string) error {
 	return rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After", "backend server %s did not run the request", server).WithRetryAfter(shortRetryAfter)
@@ -176,12 +183,14 @@
 	defer cancel()
 	conn, reused, err := c.f.Pool.Get(ctx, server.Address, nonIdempotent, dialTimeout)
 	if err != nil {
-		if ctx.Err() == nil {
+		c.relayed = false
+		if ctx.Err() == nil && !c.pathMayBeLost(err) {
 			c.f.Directory.RecordLoss(server.ID)
 		}
 		c.logAttempt("server unreachable", server.ID, err)
 		return failed(rwattempt.OutcomeUnsent, unreachableError(server.ID, err))
 	}
+	c.relayed = conn.Relayed()
 	c.attempts++
 	c.f.Counters.countSent(c.route.Kind)
 	release := c.f.Directory.TrackRequest(server.ID)
@@ -199,7 +208,7 @@
 		} else {
 			c.reportLoss(server.Entry, err)
 		}
-		if ctx.Err() == nil && !reused && !errors.Is(err, errSlow) {
+		if ctx.Err() == nil && !reused && !errors.Is(err, errSlow) && !c.pathMayBeLost(err) {
 			c.f.Directory.RecordLoss(server.ID)
 			c.recordVersionOutcome(server, true, 0)
 		}
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -40,12 +40,14 @@
 	// Use a new connection: a restarted server may have dropped an idle one.
 	conn, _, err := s.f.Pool.Get(ctx, target.server.Address, true, dialTimeout)
 	if err != nil {
-		s.markServerLost(target.server)
+		s.relayed = false
+		s.markServerLost(target.server, err)
 		s.logAttempt("server unreachable", target.server.ID, err)
 		return false, unreachableError(target.server.ID, err)
 	}
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
+	s.relayed = conn.Relayed()
 	s.attempts++
 	s.f.Counters.countSent(rwroute.KindStream)
 	s.recordPlacement(target)
@@ -162,8 +164,10 @@
 		return errCallerLeft
 	}
 	if s.remaining() > 0 {
-		s.markServerLost(target.server)
-		s.recordVersionOutcome(target.server, true, 0)
+		s.markServerLost(target.server, cause)
+		if !s.pathMayBeLost(cause) {
+			s.recordVersionOutcome(target.server, true, 0)
+		}
 	}
 	s.final = s.final || !s.sequence.Resumable()
 	s.f.Counters.countStreamLost(interruptionCause(cause))
--- a/internal/rwforward/silence.go
+++ b/internal/rwforward/silence.go
@@ -34,7 +34,8 @@
 		if step == rwrelay.StepWait {
 			return wait, nil
 		}
-		unreachable := s.f.Probe.Check(address, stalls.ProbeSince(silent)) == rwlink.ProbeUnreachable
+		// A connection over a path that is broken since may hang for good.
+		unreachable := !s.relayed && s.f.Dialer.IsBroken(s.service.Name) || s.f.Probe.Check(address, stalls.ProbeSince(silent)) == rwlink.ProbeUnreachable
 		if step == rwrelay.StepProbe && !unreachable {
 			return wait, nil
 		}
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -26,6 +26,7 @@
 	conn            net.Conn
 	reader          *bufio.Reader
 	address         string
+	relayed         bool
 	onSilence       SilenceFunc
 	silentSince     time.Time     // when bytes were last received, the request was sent or Read was called
 	idleSince       time.Time     // when it was last returned to the pool
@@ -74,7 +75,8 @@
 
 // New wraps an open connection to a server.
 func New(c net.Conn, address string) *Conn {
-	conn := &Conn{conn: c, address: address, silentSince: time.Now()}
+	r, ok := c.(interface{ Relayed() bool })
+	conn := &Conn{conn: c, address: address, relayed: ok && r.Relayed(), silentSince: time.Now()}
 	conn.reader = newReader(conn)
 	return conn
 }
@@ -157,6 +159,10 @@
 	return n, err
 }
 
+// Relayed reports whether the connection leads through another instance, so that its loss
+// may be that of the instance.
+func (c *Conn) Relayed() bool { return c.relayed }
+
 // Abort closes the connection from another goroutine. A pending read returns
 // ErrAborted.
 func (c *Conn) Abort() {
