--- a/internal/rwplatform/client.go
+++ b/internal/rwplatform/client.go
@@ -1,6 +1,7 @@
 package rwplatform
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -12,6 +13,7 @@
 	"time"
 
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwjson"
 	"ragwortwall/internal/rwobject"
 
 	"github.com/juju/errors"
@@ -21,6 +23,9 @@
 	basePath              = "/apis/ragwortwall/v1/"
 	maxResponseBytes      = 64 << 20
 	unavailableRetryAfter = 2 * time.Second
+	// maxNesting is how deeply a response may be nested. What is deeper is left out, so that
+	// one object does not hide the others.
+	maxNesting = 64
 )
 
 // ErrCompacted is returned for a watch or list from a revision that the platform
@@ -99,7 +104,7 @@
 	if result == nil {
 		return nil
 	}
-	if err := json.Unmarshal(content, result); err != nil {
+	if err := json.Unmarshal(rwjson.Prune(content, maxNesting), result); err != nil {
 		return unavailableError(method, err)
 	}
 	return nil
@@ -165,12 +170,17 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return statusError(http.MethodGet, path, response.StatusCode, nil)
 	}
-	decoder := json.NewDecoder(response.Body)
+	lines := bufio.NewReader(response.Body)
 	for {
 		var event rwobject.Event
-		if err := decoder.Decode(&event); errors.Is(err, io.EOF) {
+		line, err := lines.ReadBytes('\n')
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(line)) == 0 {
 			return nil
-		} else if err != nil {
+		}
+		if err == nil {
+			err = json.Unmarshal(rwjson.Prune(line, maxNesting), &event)
+		}
+		if err != nil {
 			return unavailableError(http.MethodGet, err)
 		}
 		if event.Type == "ERROR" {
