A stop answers the orders that it has taken, or doesn't begin them

Reported by another operator: orders that came late in the grace of a stop were taken and cut without an answer. Could happen here: connections were closed as soon as the grace period was over, without the time that is reserved for last answers, and requests that run once were not ended before. Change: an order that may take longer than what is left of the grace period is refused as not run; an idempotent request gets its deadline from it; what still runs at the end is answered as "outcome unknown" before connections are closed.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -93,6 +93,7 @@
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
+	graceEnd  atomic.Pointer[time.Time] // when requests are ended; nil while the instance is not shutting down
 	callers   rwconn.Conns
 }
 
@@ -112,12 +113,14 @@
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
 	relay := i.buildPaths()
+	ending, endRequests := context.WithCancel(context.Background())
+	defer endRequests()
 	i.forwarder = &rwforward.Forwarder{
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Dialer: i.Dialer, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
-		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, Log: i.Log, Counters: &i.counters,
+		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Ending: ending, Log: i.Log, Counters: &i.counters,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -127,7 +130,17 @@
 	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, relay.Run) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
-	return i.serve(ctx)
+	return i.serve(ctx, endRequests)
+}
+
+// graceLeft returns the time until requests are ended, and whether the instance is shutting
+// down.
+func (i *Instance) graceLeft() (time.Duration, bool) {
+	end := i.graceEnd.Load()
+	if end == nil {
+		return 0, false
+	}
+	return time.Until(*end), true
 }
 
 // register writes this instance to the list in the store, unless it is there already,
@@ -264,7 +277,9 @@
 	maxHeaderBytes    = 64 << 10         // above the limits that users may set
 )
 
-func (i *Instance) serve(ctx context.Context) error {
+// serve serves callers until ctx ends, and shuts down. endRequests ends the requests that run at
+// most once.
+func (i *Instance) serve(ctx context.Context, endRequests func()) error {
 	callerListener, err := net.Listen("tcp", i.Settings.CallerAddress)
 	if err != nil {
 		return errors.Trace(err)
@@ -290,7 +305,10 @@
 		return errors.Trace(err)
 	case <-ctx.Done():
 	}
-	return i.shutdown(callerListener, callerServer, readyServer, cancelRequests)
+	return i.shutdown(callerListener, callerServer, readyServer, func() {
+		endRequests()
+		cancelRequests()
+	})
 }
 
 // Timing of the shutdown.
@@ -302,7 +320,9 @@
 	// forcedCloseReserve is kept at the end of the grace period so that callers of
 	// cancelled requests still get a response.
 	forcedCloseReserve = 600 * time.Millisecond
-	minGracePeriod     = 2 * time.Second
+	// lastAnswerTime is the part of it for writing these responses.
+	lastAnswerTime = 400 * time.Millisecond
+	minGracePeriod = 2 * time.Second
 )
 
 // shutdown stops the instance. It reports not ready, accepts connections until the
@@ -310,10 +330,12 @@
 // outlast the grace period are cancelled, so that their callers resume at another
 // instance.
 func (i *Instance) shutdown(callerListener net.Listener, callerServer, readyServer *http.Server, cancelRequests func()) error {
-	i.leaving.Store(true)
-	i.Log.Info("stopping", "instance", i.Settings.Name)
 	start := time.Now()
 	gracePeriod := max(minGracePeriod, i.Settings.GracePeriod) - forcedCloseReserve
+	graceEnd := start.Add(gracePeriod)
+	i.graceEnd.Store(&graceEnd)
+	i.leaving.Store(true)
+	i.Log.Info("stopping", "instance", i.Settings.Name)
 	time.Sleep(min(drainDelay, gracePeriod/2))
 	ctx, cancel := context.WithTimeout(context.Background(), gracePeriod-time.Since(start))
 	defer cancel()
@@ -321,6 +343,9 @@
 	if err := i.callers.Shutdown(ctx); err != nil {
 		i.Log.Info("grace period is over, cancelling the remaining requests", "cause", err.Error())
 		cancelRequests()
+		answerCtx, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
+		defer cancel()
+		_ = i.callers.Shutdown(answerCtx) // connections that are still open are closed next
 	}
 	_ = callerServer.Close()
 	_ = readyServer.Close()
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -1,6 +1,7 @@
 package rwforward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -81,7 +82,9 @@
 	Parts            *rwpart.Registry
 	NotifyParts      PartNotifier
 	Limits           *rwlimit.Limiter
-	ShuttingDown     func() bool // reports whether this instance is shutting down
+	ShuttingDown     func() bool                  // reports whether this instance is shutting down
+	GraceLeft        func() (time.Duration, bool) // returns the time until requests are ended, while this instance is shutting down; nil for never
+	Ending           context.Context              // done when the grace period is over; nil for never
 	Log              logr.Logger
 	Counters         *Counters
 
@@ -128,6 +131,9 @@
 	defer func() { f.bufferedBytes.Add(-c.bufferedBytes) }()
 	defer c.logPanic()
 	err := c.resolveRoute()
+	if err == nil {
+		err = c.fitGracePeriod()
+	}
 	if err == nil {
 		err = c.readBody()
 	}
@@ -204,6 +210,23 @@
 	return nil
 }
 
+// fitGracePeriod limits the request to what is left of the grace period of a shutdown. It
+// refuses a request that runs at most once and may take longer: its outcome would be unknown.
+func (c *call) fitGracePeriod() error {
+	if c.f.GraceLeft == nil || c.route.Kind == rwroute.KindStream {
+		return nil
+	}
+	left, ending := c.f.GraceLeft()
+	if !ending || c.remaining() <= left {
+		return nil
+	}
+	if c.route.Kind == rwroute.KindOnce {
+		return rwerror.New(rwerror.KindUnavailable, "retry at another instance", "this instance is stopping in %s, before the request may have ended", max(0, left).Round(time.Millisecond)).WithRetryAfter(shortRetryAfter)
+	}
+	c.deadline, c.routeTimeoutApplies = time.Now().Add(left), true
+	return nil
+}
+
 // awaitInitialState waits up to startupWait for the settings and the server list.
 // On an instance that has just started this is faster than a retry by the caller.
 func (c *call) awaitInitialState() bool {
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -181,6 +181,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.remaining())
 	defer cancel()
+	if c.f.Ending != nil {
+		defer context.AfterFunc(c.f.Ending, cancel)()
+	}
 	conn, reused, err := c.f.Pool.Get(ctx, server.Address, nonIdempotent, dialTimeout)
 	if err != nil {
 		c.relayed = false
