rwpath: an instance that stops ends the connections that it relays

The stop of a relay cut requests of other instances: it refused no new connections to relay, and did not wait for those that it had. TestRelayStops failed before (the relay connected, and had nothing to wait with) and passes.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -93,6 +93,7 @@
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
+	relay     *rwpath.Relay
 	graceEnd  atomic.Pointer[time.Time] // when requests are ended; nil while the instance is not shutting down
 	callers   rwconn.Conns
 }
@@ -112,7 +113,7 @@
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
-	relay := i.buildPaths()
+	i.relay = i.buildPaths()
 	ending, endRequests := context.WithCancel(context.Background())
 	defer endRequests()
 	i.forwarder = &rwforward.Forwarder{
@@ -127,7 +128,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, relay.Run) {
+	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx, endRequests)
@@ -347,6 +348,7 @@
 		defer cancel()
 		_ = i.callers.Shutdown(answerCtx) // connections that are still open are closed next
 	}
+	i.relay.Wait(ctx)
 	_ = callerServer.Close()
 	_ = readyServer.Close()
 	i.Log.Info("stopped", "instance", i.Settings.Name, "took", time.Since(start).Seconds())
--- a/internal/rwentry/paths.go
+++ b/internal/rwentry/paths.go
@@ -48,7 +48,8 @@
 			e, ok := i.directory.AnotherServer(s.ID)
 			return toServer(e), ok
 		},
-		Barred: func(id string) bool { return !i.directory.Accepts(id) },
+		Leaving: i.leaving.Load,
+		Barred:  func(id string) bool { return !i.directory.Accepts(id) },
 	}
 }
 
--- a/internal/rwpath/path_test.go
+++ b/internal/rwpath/path_test.go
@@ -35,6 +35,8 @@
 	zone   string
 	cut    atomic.Bool
 	barred atomic.Bool
+
+	leaving atomic.Bool
 }
 
 const (
@@ -115,6 +117,7 @@
 		return last, last.ID != s.ID
 	}
 	i.relay.Barred = func(string) bool { return i.barred.Load() }
+	i.relay.Leaving = i.leaving.Load
 	go i.relay.Run(w.t.Context())
 	go i.Run(w.t.Context())
 	require.Eventually(w.t, func() bool {
@@ -325,6 +328,36 @@
 	}
 }
 
+// TestRelayStops guards against requests that are cut because the instance that relays them
+// stops.
+func TestRelayStops(t *testing.T) {
+	w := newWorld(t, 3)
+	helper := w.start("zone-1")
+	i := w.start("zone-0", helper)
+	c := w.breakPath(i)
+	helper.leaving.Store(true)
+	_, status, err := askRelay(t.Context(), helper.relay.Address, "s0")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	waited := make(chan struct{})
+	go func() {
+		helper.relay.Wait(t.Context())
+		close(waited)
+	}()
+	requireEcho(t, c)
+	select {
+	case <-waited:
+		require.Fail(t, "a connection is still relayed")
+	default:
+	}
+	require.NoError(t, c.Close())
+	select {
+	case <-waited:
+	case <-time.After(waitTimeout):
+		require.Fail(t, "no connection is relayed any more")
+	}
+}
+
 // TestRelayRefusals checks what a relay doesn't connect: servers that it doesn't list,
 // requests that are no questions, and more connections than its limit.
 func TestRelayRefusals(t *testing.T) {
--- a/internal/rwpath/relay.go
+++ b/internal/rwpath/relay.go
@@ -14,6 +14,7 @@
 
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -205,11 +206,21 @@
 	Find    func(id string) (Server, bool) // returns the listed server with an id
 	Control func(s Server) (Server, bool)  // returns another server of the service, by which this instance's own path is checked; false for none
 	Barred  func(id string) bool           // reports whether this instance must send nothing to a server now; nil for never
+	Leaving func() bool                    // reports whether this instance is shutting down; nil for never
 	Log     logr.Logger
 
 	relayed atomic.Int32
 }
 
+// Wait returns when no connection is relayed any more, or ctx ends. An instance that shuts down
+// relays no new ones, but those that it has may carry requests.
+func (r *Relay) Wait(ctx context.Context) {
+	const pollInterval = 20 * time.Millisecond
+	for r.relayed.Load() > 0 && rwtime.Sleep(ctx, pollInterval) {
+		continue
+	}
+}
+
 // Run relays connections until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	listener, err := net.Listen("tcp", r.Address)
@@ -228,7 +239,7 @@
 // ServeHTTP connects a caller to the server that the path names. The status is 404 if the server
 // isn't listed here, 409 if this instance must not send to it now, 502 if it is not reached but
 // another server of its service is, 504 if neither is, and 503 if this instance's own path is
-// broken or it relays too many connections.
+// broken, it is shutting down or relays too many connections.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	server, status := r.admit(request)
 	if status != http.StatusOK {
@@ -294,7 +305,7 @@
 		return Server{}, http.StatusNotFound
 	case r.Barred != nil && r.Barred(id):
 		return Server{}, http.StatusConflict
-	case r.Dialer.IsBroken(server.Service):
+	case r.Leaving != nil && r.Leaving(), r.Dialer.IsBroken(server.Service):
 		return Server{}, http.StatusServiceUnavailable
 	}
 	return server, http.StatusOK
