rwpath: connections wait for the question that is under way

A connection now waits for the question about its service that is under way. Verify finds out whether a path is broken before a conclusion is drawn.

--- a/internal/rwpath/dialer.go
+++ b/internal/rwpath/dialer.go
@@ -49,8 +49,11 @@
 	since     time.Time          // of the first of these failures
 	broken    bool
 	brokenAt  time.Time
-	next      int // index of the server that is tried next for recovery
-	reached   int // direct connections in a row since it was broken
+	told      chan struct{} // closed when Broken has returned
+	next      int           // index of the server that is tried next for recovery
+	reached   int           // direct connections in a row since it was broken
+	asking    chan struct{} // closed when the question to other instances ends; nil if there is none
+	askedAt   time.Time     // end of the last one
 }
 
 // failure is a server that was not reached.
@@ -67,6 +70,8 @@
 	// askInterval is the shortest time between two questions to other instances about one
 	// server. It bounds them while servers are down.
 	askInterval = 500 * time.Millisecond
+	// questionInterval is the pause between two questions about one service.
+	questionInterval = 50 * time.Millisecond
 	// recoveryInterval is the time between two direct connections over a broken path.
 	recoveryInterval = 250 * time.Millisecond
 	// recoveryTimeout limits such a connection.
@@ -102,13 +107,24 @@
 	if ctx.Err() != nil || !d.recordUnreached(server) {
 		return nil, err
 	}
-	ask, confirmed := d.mayAsk(server)
-	if confirmed {
+	asked, begun, confirmed := d.beginQuestion(server)
+	switch {
+	case confirmed:
 		return nil, fmt.Errorf("%w: %w", ErrServerUnreached, err)
-	}
-	if !ask {
+	case asked != nil:
+		// Another connection is finding out whether the path is broken.
+		select {
+		case <-asked:
+		case <-ctx.Done():
+		}
+		if d.IsBroken(server.Service) {
+			return d.dialRelayed(ctx, server)
+		}
+		return nil, err
+	case !begun:
 		return nil, err
 	}
+	defer d.endQuestion(server.Service)
 	relayed, askErr := d.dialRelayed(ctx, server)
 	if askErr != nil {
 		d.Log.Info("path to a server in doubt", "server", server.ID, "service", server.Service, "cause", err.Error(), "asked", askErr.Error())
@@ -122,6 +138,47 @@
 	return relayed, nil
 }
 
+// maxVerified limits the servers that Verify connects to.
+const maxVerified = 3
+
+// Verify finds out whether the path to a service is broken, by connections to servers in
+// different zones until one succeeds. timeout applies to each direct one. If it is broken, Broken
+// has returned when Verify does.
+func (d *Dialer) Verify(ctx context.Context, service string, timeout time.Duration) {
+	if d == nil || d.awaitBroken(ctx, service) {
+		return
+	}
+	defer d.awaitBroken(ctx, service)
+	zones := map[string]bool{}
+	for _, s := range d.servers(service) {
+		if zones[s.Zone] || len(zones) == maxVerified {
+			continue
+		}
+		zones[s.Zone] = true
+		if c, err := d.Dial(ctx, s.Address, timeout); err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+}
+
+// awaitBroken reports whether the path to a service is broken, and waits until Broken has
+// returned.
+func (d *Dialer) awaitBroken(ctx context.Context, service string) bool {
+	d.mu.Lock()
+	p := d.pathLocked(service)
+	broken, told := p.broken, p.told
+	d.mu.Unlock()
+	if !broken {
+		return false
+	}
+	select {
+	case <-told:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // Reach is whether a server accepts connections.
 type Reach int
 
@@ -276,17 +333,35 @@
 	return true
 }
 
-// mayAsk reports whether other instances may be asked for a server now, and whether they
-// have just said that they don't reach it.
-func (d *Dialer) mayAsk(server Server) (ask, confirmed bool) {
+// beginQuestion begins a question to other instances about a server. confirmed reports that they
+// have just said that they don't reach it. Otherwise asked is closed when the question about
+// the same service ends that is already under way, if there is one. If it is nil the caller
+// asks, unless begun is false: the last question is too recent.
+func (d *Dialer) beginQuestion(server Server) (asked <-chan struct{}, begun, confirmed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f := d.pathLocked(server.Service).unreached[server.ID]
-	if time.Since(f.askedAt) < askInterval {
-		return false, f.confirmed
-	}
-	d.paths[server.Service].unreached[server.ID] = failure{zone: server.Zone, askedAt: time.Now()}
-	return true, false
+	p := d.pathLocked(server.Service)
+	f := p.unreached[server.ID]
+	recent := time.Since(f.askedAt) < askInterval
+	switch {
+	case recent && f.confirmed:
+		return nil, false, true
+	case p.asking != nil:
+		return p.asking, false, false
+	case recent || time.Since(p.askedAt) < questionInterval:
+		return nil, false, false
+	}
+	p.asking = make(chan struct{})
+	p.unreached[server.ID] = failure{zone: server.Zone, askedAt: time.Now()}
+	return nil, true, false
+}
+
+func (d *Dialer) endQuestion(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pathLocked(service)
+	close(p.asking)
+	p.asking, p.askedAt = nil, time.Now()
 }
 
 // confirm records that others did not reach a server either.
@@ -308,6 +383,8 @@
 		return
 	}
 	p.broken, p.brokenAt, p.reached = true, time.Now(), 0
+	told := make(chan struct{})
+	p.told = told
 	since, unreached := p.since, len(p.unreached)
 	recovery := d.recoveryLocked()
 	d.mu.Unlock()
@@ -317,6 +394,7 @@
 	if d.Broken != nil {
 		d.Broken(server.Service, since)
 	}
+	close(told)
 	select {
 	case recovery <- struct{}{}:
 	default:
--- a/internal/rwpath/path_test.go
+++ b/internal/rwpath/path_test.go
@@ -181,6 +181,30 @@
 	require.False(t, rwlink.New(c, "").Relayed())
 }
 
+// TestConcurrentDials guards against connections that all fail within the moment in which the
+// first one finds out that the path is broken.
+func TestConcurrentDials(t *testing.T) {
+	w := newWorld(t, 3)
+	i := w.start("zone-0", w.start("zone-1"), w.start("zone-2"))
+	i.cut.Store(true)
+	const callers = 20
+	connected := make(chan bool, callers)
+	for range callers {
+		go func() {
+			for n := range w.servers {
+				if _, err := w.dial(i, n); err == nil {
+					connected <- true
+					return
+				}
+			}
+			connected <- false
+		}()
+	}
+	for range callers {
+		require.True(t, <-connected, "all servers were tried in vain")
+	}
+}
+
 // TestServersDown guards against a service whose servers are down that is taken for a broken
 // path: each connection would be tried through other instances.
 func TestServersDown(t *testing.T) {
