rwforward: losses of the path hold no part of prompts

Losses that count against parts are withdrawn when the path is found broken, and before a request is refused for a part under such losses the path is verified.

--- a/internal/rwentry/paths.go
+++ b/internal/rwentry/paths.go
@@ -33,6 +33,7 @@
 	}
 	d.Broken = func(service string, since time.Time) {
 		i.directory.WithdrawLosses(service, since.Add(-earlierLosses))
+		i.forwarder.WithdrawLosses(service, since.Add(-earlierLosses))
 		for _, e := range i.directory.Entries(service) {
 			i.pool.Drop(e.Address)
 		}
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -71,9 +71,16 @@
 	c.lost.Add(server.ID)
 	c.lostMu.Unlock()
 	countedForParts := c.recordPartLoss(server, cause)
+	var pending *pendingPartLoss
+	if countedForParts {
+		pending = c.f.addPartLoss(c.service.Name, at, func() { c.judgePartLoss(server, false, lossPath) })
+		if c.lostWithPath() && c.f.takePartLoss(pending) {
+			c.judgePartLoss(server, false, lossPath) // the path was found broken meanwhile
+		}
+	}
 	record := func(ended bool, reason lossReason) {
 		c.recordJudgement(server, at, progress, cause, ended, reason)
-		if countedForParts {
+		if countedForParts && c.f.takePartLoss(pending) {
 			c.judgePartLoss(server, ended, reason)
 		}
 	}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -89,6 +89,9 @@
 	Counters         *Counters
 
 	bufferedBytes atomic.Int64 // of the responses that are held in memory
+
+	partLossMu sync.Mutex
+	partLosses map[*pendingPartLoss]struct{} // counted and not judged yet
 }
 
 // call is the state of one caller's request.
--- a/internal/rwforward/partloss.go
+++ b/internal/rwforward/partloss.go
@@ -41,6 +41,11 @@
 		return nil
 	}
 	trial, refusal := c.f.Parts.Admit(c.partKeys, rwpart.NewVersion(server.Version))
+	if refusal != nil && (c.f.Dialer.IsBroken(c.service.Name) || c.f.hasPartLosses(c.service.Name)) {
+		// Losses of the path to all servers at once look like a part that crashes servers.
+		c.f.Dialer.Verify(c.r.Context(), c.service.Name, dialTimeout/2)
+		trial, refusal = c.f.Parts.Admit(c.partKeys, rwpart.NewVersion(server.Version))
+	}
 	switch {
 	case refusal == nil && trial:
 		c.partTrial = c.attempts + 1
@@ -72,12 +77,76 @@
 	if len(c.partKeys) == 0 || c.progress.wellUnderWay() || !c.brokenByServer(cause) {
 		return false
 	}
+	if c.lostWithPath() {
+		return false
+	}
 	loss := c.partLoss(server)
 	loss.Begun = c.progress.begun() && !errors.Is(cause, errHung) && !errors.Is(cause, errUnreachable)
 	c.countPartLoss(server, loss)
 	return true
 }
 
+// pendingPartLoss is a loss that recordPartLoss counted and that is not judged yet.
+type pendingPartLoss struct {
+	service  string
+	at       time.Time
+	withdraw func()
+}
+
+func (f *Forwarder) addPartLoss(service string, at time.Time, withdraw func()) *pendingPartLoss {
+	f.partLossMu.Lock()
+	defer f.partLossMu.Unlock()
+	if f.partLosses == nil {
+		f.partLosses = map[*pendingPartLoss]struct{}{}
+	}
+	p := &pendingPartLoss{service, at, withdraw}
+	f.partLosses[p] = struct{}{}
+	return p
+}
+
+// takePartLoss removes a pending loss and reports whether it was still there.
+func (f *Forwarder) takePartLoss(p *pendingPartLoss) bool {
+	f.partLossMu.Lock()
+	defer f.partLossMu.Unlock()
+	_, ok := f.partLosses[p]
+	delete(f.partLosses, p)
+	return ok
+}
+
+// hasPartLosses reports whether losses of a service's servers are not judged yet.
+func (f *Forwarder) hasPartLosses(service string) bool {
+	f.partLossMu.Lock()
+	defer f.partLossMu.Unlock()
+	for p := range f.partLosses {
+		if p.service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// WithdrawLosses withdraws what losses of a service's servers since a time count against parts
+// of prompts: they were losses of the path to the servers.
+func (f *Forwarder) WithdrawLosses(service string, since time.Time) {
+	var withdrawn []func()
+	f.partLossMu.Lock()
+	for p := range f.partLosses {
+		if p.service == service && !p.at.Before(since) {
+			withdrawn = append(withdrawn, p.withdraw)
+			delete(f.partLosses, p)
+		}
+	}
+	f.partLossMu.Unlock()
+	for _, withdraw := range withdrawn {
+		withdraw()
+	}
+}
+
+// lostWithPath reports whether the current attempt used the path to the service that is broken.
+func (c *call) lostWithPath() bool {
+	return !c.relayed && c.f.Dialer.IsBroken(c.service.Name)
+}
+
 // partLoss returns the loss of a server for the parts of the request.
 func (c *call) partLoss(server rwbackend.Entry) rwpart.Loss {
 	return rwpart.Loss{
--- a/internal/rwforward/silence.go
+++ b/internal/rwforward/silence.go
@@ -35,7 +35,7 @@
 			return wait, nil
 		}
 		// A connection over a path that is broken since may hang for good.
-		unreachable := !s.relayed && s.f.Dialer.IsBroken(s.service.Name) || s.f.Probe.Check(address, stalls.ProbeSince(silent)) == rwlink.ProbeUnreachable
+		unreachable := s.lostWithPath() || s.f.Probe.Check(address, stalls.ProbeSince(silent)) == rwlink.ProbeUnreachable
 		if step == rwrelay.StepProbe && !unreachable {
 			return wait, nil
 		}
