rwsoak: instances that lose their paths to all servers, or also to the store

Each instance has a proxy of its own for each server, whose address it gets from its view of the store, so that a zone's or every second instance can be cut from all servers for 5 s: connections are reset and refused, or live on while new ones are refused. Orders sent to them from 3 s on are counted as the users' rule says. A relay is reached through the proxies between instances.

--- a/Makefile
+++ b/Makefile
@@ -31,9 +31,13 @@
 # With servers that say that they leave or want no requests, and other faults.
 SOAK_STATEMENTS := --seed 8101 --length 12s --statements
 
+# With instances that lose their paths to all servers, alone and beside other faults.
+SOAK_PATHS_PLANNED := --seed 9002 --length 14s --paths --planned
+SOAK_PATHS := --seed 9003 --length 14s --paths
+
 # Several runs at a time, so that they take less than two minutes.
 SOAK_JOBS := 3
-SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)"
+SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)" "$(SOAK_PATHS_PLANNED)" "$(SOAK_PATHS)"
 
 .PHONY: build demo demo-platform test unit vet unit-plain race-small race-rwserve race-platform prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
@@ -75,7 +79,7 @@
 	$(GO) test $(SKIP_RED) ./...
 
 race-small:
-	$(GO) test -race $(SKIP_RED) ./internal/rwonce ./internal/rwslot ./internal/rwbackend ./internal/rwconn ./internal/rwfeed ./internal/rwlink ./internal/rwpeer ./internal/rwlog ./internal/rwpart
+	$(GO) test -race $(SKIP_RED) ./internal/rwonce ./internal/rwslot ./internal/rwbackend ./internal/rwconn ./internal/rwfeed ./internal/rwlink ./internal/rwpeer ./internal/rwlog ./internal/rwpart ./internal/rwpath
 
 race-rwserve:
 	@mkdir -p out
--- a/internal/rwsoak/faults.go
+++ b/internal/rwsoak/faults.go
@@ -19,6 +19,7 @@
 	inject      func(s *Soak, index int) func()
 	target      string        // see targetName; if empty, it depends on the name and the index
 	maxDuration time.Duration // maxFaultDuration if zero
+	duration    time.Duration // random if zero
 }
 
 // faults lists all kinds of fault. The index selects the target, modulo the number of
@@ -194,6 +195,9 @@
 	return func() { s.crashServer(group, index)() }
 }
 
+// pathStream is the number of the random source of the path faults.
+const pathStream = 9
+
 // Durations of faults, and the time of the revocation.
 const (
 	minFaultDuration = 800 * time.Millisecond
@@ -222,6 +226,9 @@
 			f.duration %= limit - minFaultDuration
 		}
 		f.duration += minFaultDuration
+		if f.kind.duration > 0 {
+			f.duration = f.kind.duration
+		}
 		planned = append(planned, f)
 	}
 	return planned
@@ -242,6 +249,9 @@
 	}
 	running.Go(func() { s.runSchedule(ctx, schedule(s.newRandom(1), s.Duration, kinds)) })
 	running.Go(func() { s.runSchedule(ctx, schedule(s.newRandom(2), s.Duration, ordinaryEvents)) })
+	if s.Paths {
+		running.Go(func() { s.runSchedule(ctx, schedule(s.newRandom(pathStream), s.Duration, pathFaults)) })
+	}
 	running.Wait()
 }
 
--- a/internal/rwsoak/peers.go
+++ b/internal/rwsoak/peers.go
@@ -56,10 +56,12 @@
 }
 
 // peerProxyPair holds the proxies through which the other instances reach an instance:
-// one for its control connections, one for its notices.
+// one for its control connections, one for its notices, and one at the same port for the
+// connections that it relays.
 type peerProxyPair struct {
 	control *Proxy
 	notices *udpRelay
+	relayed *Proxy
 }
 
 func newPeerProxyPair(i *instance) (*peerProxyPair, error) {
@@ -67,20 +69,30 @@
 	if err != nil {
 		return nil, err
 	}
-	notices, err := newUDPRelay(i.NoticeAddress)
-	if err != nil {
-		return nil, err
+	const attempts = 20 // the port may be in use for TCP
+	for range attempts {
+		var notices *udpRelay
+		if notices, err = newUDPRelay(i.NoticeAddress); err != nil {
+			return nil, err
+		}
+		var relayed *Proxy
+		if relayed, err = newProxyAt(notices.address, i.NoticeAddress); err == nil {
+			return &peerProxyPair{control, notices, relayed}, nil
+		}
+		_ = notices.conn.Close()
 	}
-	return &peerProxyPair{control, notices}, nil
+	return nil, err
 }
 
 func (p *peerProxyPair) setMode(mode Mode) {
 	p.control.SetMode(mode)
+	p.relayed.SetMode(mode)
 	p.notices.mode.Store(int32(mode)) //nolint:gosec // the modes are small numbers
 }
 
 func (p *peerProxyPair) close() {
 	p.control.Close()
+	p.relayed.Close()
 	_ = p.notices.conn.Close()
 }
 
--- a/internal/rwsoak/process.go
+++ b/internal/rwsoak/process.go
@@ -22,6 +22,7 @@
 	standin.Instance
 	program, logDir string
 	storeProxy      *Proxy
+	serverPaths     *serverPaths
 	peerProxies     *peerProxyPair
 
 	mu  sync.Mutex
@@ -33,12 +34,13 @@
 // newInstance returns the n-th instance, not yet started. It has its own loopback IP
 // address, derived from the id of this process, so that concurrent soaks don't use
 // the same ports.
-func newInstance(n int, program, logDir, store string) (*instance, error) {
-	storeProxy, err := NewProxy(store)
+func newInstance(n int, program, logDir string, store http.Handler) (*instance, error) {
+	paths := newServerPaths(store)
+	storeProxy, err := NewProxy(paths.storeView.Listener.Addr().String())
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{program: program, logDir: logDir, storeProxy: storeProxy}
+	i := &instance{program: program, logDir: logDir, storeProxy: storeProxy, serverPaths: paths}
 	i.Name, i.Zone, i.StoreAddress = fmt.Sprint(instancePrefix, n), standin.Zone(n%zones), storeProxy.Address
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%250, os.Getpid()%256, 1+n%250)
 	i.CallerAddress, i.ReadyAddress, i.ControlAddress, i.NoticeAddress = ip+":8740", ip+":8749", ip+":8748", ip+":7200"
--- a/internal/rwsoak/proxy.go
+++ b/internal/rwsoak/proxy.go
@@ -16,11 +16,13 @@
 
 // The modes of a proxy.
 const (
-	ModeNormal Mode = iota // everything is forwarded
-	ModeDelay              // data is delayed by proxyDelay
-	ModeReset              // open connections are reset, new ones are closed
-	ModeOneWay             // data from the target is dropped
-	ModeSilent             // data in both directions is dropped
+	ModeNormal    Mode = iota // everything is forwarded
+	ModeDelay                 // data is delayed by proxyDelay
+	ModeReset                 // open connections are reset, new ones are closed
+	ModeOneWay                // data from the target is dropped
+	ModeSilent                // data in both directions is dropped
+	ModeRefuse                // open connections are reset, new ones are refused
+	ModeRefuseNew             // open connections live on, new ones are refused
 )
 
 // proxyDelay is the delay of each chunk of data: a hundred times the answer time of a
@@ -39,24 +41,31 @@
 }
 
 // NewProxy starts a proxy to a target address.
-func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func NewProxy(target string) (*Proxy, error) { return newProxyAt("127.0.0.1:0", target) }
+
+// newProxyAt starts a proxy that listens at an address.
+func newProxyAt(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	p := &Proxy{Address: listener.Addr().String(), target: target, listener: listener, conns: map[net.Conn]bool{}}
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
-// SetMode sets the mode, for open connections too. ModeReset and ModeNormal reset all
+// SetMode sets the mode, for open connections too. ModeReset, ModeRefuse and ModeNormal reset all
 // open connections: a response may end with its connection, so that closing them would
 // make a part of it look whole.
 func (p *Proxy) SetMode(mode Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
-	if mode == ModeReset || mode == ModeNormal {
+	refuse := mode == ModeRefuse || mode == ModeRefuseNew
+	if refuse != (p.listener == nil) {
+		p.setListeningLocked(!refuse)
+	}
+	if mode == ModeReset || mode == ModeNormal || mode == ModeRefuse {
 		for c := range p.conns {
 			standin.ResetConn(c)
 		}
@@ -71,12 +80,24 @@
 	p.target = target
 }
 
-// Close stops the proxy and closes its connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.SetMode(ModeReset)
+// setListeningLocked closes the listener, so that connections are refused, or opens it again.
+func (p *Proxy) setListeningLocked(listening bool) {
+	if !listening {
+		_ = p.listener.Close()
+		p.listener = nil
+		return
+	}
+	listener, err := relisten(p.Address)
+	if err != nil {
+		panic(err) // the run would go on without a server
+	}
+	p.listener = listener
+	go p.accept(listener)
 }
 
+// Close stops the proxy and closes its connections.
+func (p *Proxy) Close() { p.SetMode(ModeRefuse) }
+
 func (p *Proxy) currentMode() Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,9 +113,9 @@
 
 // accept forwards the connections of clients until the listener is closed. In ModeReset,
 // new connections are closed at once.
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -31,8 +30,10 @@
 	Limits        bool // servers name limits on the requests that they take
 	Statements    bool // servers say that they leave or want no requests for a while
 	Reads         bool // Poison with reads without a prompt that have a new query each time
+	Paths         bool // instances lose their paths to all servers, or also to the store
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
 
+	ctx            context.Context //nolint:containedctx // of the run
 	store          standin.Store
 	fleet          standin.Fleet
 	modelServers   standin.Group
@@ -97,7 +98,7 @@
 // setup fails; violated guarantees are in the report.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.report.Seed, s.report.Logs, s.reportedNotRun, s.poisonSentTo = s.Seed, s.Logs, map[string]bool{}, map[string]string{}
-	s.limitSentTo = map[string]string{}
+	s.limitSentTo, s.ctx = map[string]string{}, ctx
 	if err := os.MkdirAll(s.Logs, 0o750); err != nil {
 		return s.report, err
 	}
@@ -146,15 +147,9 @@
 }
 
 func (s *Soak) start() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
 	s.store.Rewrite = s.rewriteMember
-	server := &http.Server{Handler: &s.store, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }()
 	s.serverProxies = map[string]*Proxy{}
-	s.fleet = standin.Fleet{Store: &s.store, PublicAddress: s.proxyAddress, EventInterval: 25 * time.Millisecond, PrefillTime: 150 * time.Millisecond, FirstEventDelay: 20 * time.Millisecond, OrderTime: 15 * time.Millisecond, KeepRecords: true}
+	s.fleet = standin.Fleet{Store: &s.store, PublicAddress: s.proxyAddress, Resolve: s.resolveAddress, EventInterval: 25 * time.Millisecond, PrefillTime: 150 * time.Millisecond, FirstEventDelay: 20 * time.Millisecond, OrderTime: 15 * time.Millisecond, KeepRecords: true}
 	for n := range zones * s.ModelsPerZone {
 		if err := s.startServer(&s.modelServers, standin.ModelService, n, true); err != nil {
 			return err
@@ -175,7 +170,7 @@
 		s.fleet.CrashPart, s.fleet.RestartDelay = crashPart, poisonDownTime
 	}
 	s.configure(func(c *standin.Configuration) { c.Keys = []string{standin.Key, standin.RevocableKey} })
-	return s.startInstances(listener.Addr().String())
+	return s.startInstances()
 }
 
 // proxyAddress starts a proxy in front of a server and returns the proxy's address. A
@@ -214,12 +209,11 @@
 	return nil
 }
 
-// startInstances starts the instances and waits until all are ready. store is the
-// address of the store.
-func (s *Soak) startInstances(store string) error {
+// startInstances starts the instances and waits until all are ready.
+func (s *Soak) startInstances() error {
 	var seeds []string
 	for n := range s.Instances {
-		i, err := newInstance(n, s.Program, s.Logs, store)
+		i, err := newInstance(n, s.Program, s.Logs, &s.store)
 		if err != nil {
 			return err
 		}
@@ -258,6 +252,7 @@
 	for _, i := range s.instances {
 		i.terminate(syscall.SIGKILL, time.Second)
 		i.storeProxy.Close()
+		i.serverPaths.close()
 		i.peerProxies.close()
 	}
 	for _, group := range []*standin.Group{&s.modelServers, &s.orderServers} {
