--- a/internal/rwfeed/followmodel_test.go
+++ b/internal/rwfeed/followmodel_test.go
@@ -1,8 +1,6 @@
 package rwfeed_test
 
 import (
-	"cmp"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -147,8 +145,8 @@
 					}
 					peak = max(peak, mostWithin(at, time.Second))
 				}
-				t.Log(fmt.Sprintf("%3d instances, %-17s %-26s late %4d of %4d, worst %5.2f s, calls %5.1f, most in a second %3d, kB between instances %5.1f",
-					fleet.size, cut.name+":", name, late, total, worst.Seconds(), float64(calls)/runs, peak, float64(bytes)/runs/1000))
+				t.Logf("%3d instances, %-17s %-26s late %4d of %4d, worst %5.2f s, calls %5.1f, most in a second %3d, kB between instances %5.1f",
+					fleet.size, cut.name+":", name, late, total, worst.Seconds(), float64(calls)/runs, peak, float64(bytes)/runs/1000)
 				if name == "told, peers, store spread" {
 					require.Zero(t, late, "%d instances, %s", fleet.size, cut.name)
 				}
@@ -168,7 +166,7 @@
 
 // mostWithin returns the largest number of times within a window.
 func mostWithin(times []time.Duration, window time.Duration) int {
-	slices.SortFunc(times, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	slices.Sort(times)
 	most, from := 0, 0
 	for to := range times {
 		for times[to]-times[from] >= window {
--- a/internal/rwpath/model_test.go
+++ b/internal/rwpath/model_test.go
@@ -124,9 +124,9 @@
 		for _, cut := range []string{"a tenth", "a zone", "half"} {
 			for _, name := range []string{"one fixed other", "any, at random", "own zone first", "own zone, then other zones"} {
 				m := runPathModel(helperChoices[name], fleet.size, fleet.zones, cuts[cut])
-				t.Log(fmt.Sprintf("%3d instances, %-8s %-26s served %.3f, asks per request %.2f (%.1f ms), most relayed %3d/s (own %d), between zones %7.1f kB/s",
+				t.Logf("%3d instances, %-8s %-26s served %.3f, asks per request %.2f (%.1f ms), most relayed %3d/s (own %d), between zones %7.1f kB/s",
 					fleet.size, cut+":", name, float64(m.served)/float64(m.sent), float64(m.asks)/float64(m.sent),
-					float64(m.asks)/float64(m.sent)*float64(modelHelperTime.Milliseconds()), m.mostRelayed, modelRequestRate, float64(m.zoneBytes)/modelSeconds/1000))
+					float64(m.asks)/float64(m.sent)*float64(modelHelperTime.Milliseconds()), m.mostRelayed, modelRequestRate, float64(m.zoneBytes)/modelSeconds/1000)
 				if name == "own zone, then other zones" {
 					require.GreaterOrEqual(t, float64(m.served)/float64(m.sent), 0.9)
 					require.LessOrEqual(t, m.mostRelayed, 4*modelRequestRate)
--- a/internal/rwpath/relay.go
+++ b/internal/rwpath/relay.go
@@ -49,6 +49,9 @@
 // ErrServerUnreached is returned if other instances don't reach the server either.
 var ErrServerUnreached = rwerror.New(rwerror.KindUnavailable, "retry after the time in Retry-After", "other instances do not reach the server either")
 
+// errUnaskedBytes is returned if a server sent something before it got a request.
+var errUnaskedBytes = errors.New("bytes arrived before a request was sent")
+
 // dialRelayed connects to a server through another instance. It returns ErrServerUnreached if
 // the server is what can't be reached: by an instance that reaches another server of the service,
 // or by all that were asked, in two zones unless there is but one, while none of them knows that
@@ -153,30 +156,30 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	request := &http.Request{Method: http.MethodConnect, Host: address, URL: &url.URL{Path: relayPath + server}}
 	reader := bufio.NewReader(raw)
-	response, err := writeAndRead(raw, reader, request)
-	if err != nil || !stop() {
-		_ = raw.Close()
-		return nil, 0, errors.Trace(errorOr(err, ctx.Err()))
+	status, err := exchange(raw, reader, request)
+	if err == nil && !stop() {
+		err = ctx.Err()
 	}
-	if response.StatusCode != http.StatusOK || reader.Buffered() > 0 {
+	if err == nil && reader.Buffered() > 0 {
+		err = errUnaskedBytes
+	}
+	if err != nil || status != http.StatusOK {
 		_ = raw.Close()
-		return nil, response.StatusCode, nil
+		return nil, status, errors.Trace(err)
 	}
-	return raw.(*net.TCPConn), response.StatusCode, nil
+	return raw.(*net.TCPConn), status, nil
 }
 
-func writeAndRead(c net.Conn, reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+// exchange sends a request and returns the status of the response, which has no body.
+func exchange(c net.Conn, reader *bufio.Reader, request *http.Request) (int, error) {
 	if err := request.Write(c); err != nil {
-		return nil, err
+		return 0, err
 	}
-	return http.ReadResponse(reader, request)
-}
-
-func errorOr(err, other error) error {
-	if err == nil {
-		return other
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return 0, err
 	}
-	return err
+	return response.StatusCode, response.Body.Close()
 }
 
 func (d *Dialer) isUnfit(address string) bool {
