--- a/internal/rwpath/path_test.go
+++ b/internal/rwpath/path_test.go
@@ -281,6 +281,19 @@
 	requireEcho(t, c)
 }
 
+// TestNoOthersKnown guards against servers of several zones that count as ended because an
+// instance that has just started knows no other one that could tell.
+func TestNoOthersKnown(t *testing.T) {
+	w := newWorld(t, 3)
+	i := w.start("zone-0")
+	i.cut.Store(true)
+	for n := range w.servers {
+		_, err := w.dial(i, n)
+		require.Error(t, err)
+	}
+	require.Equal(t, ReachUnknown, i.Check(t.Context(), w.servers[0].Address, dialTimeout))
+}
+
 // TestAllServersDown checks that servers count as ended if no instance reaches any: a request may
 // have crashed them one after the other.
 func TestAllServersDown(t *testing.T) {
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -217,6 +217,11 @@
 		if err != nil {
 			return err
 		}
+		if s.Paths {
+			// Each one in a zone of its own watches the store. An instance that follows
+			// another one would get that one's addresses of the servers.
+			i.Zone = standin.Zone(n)
+		}
 		s.instances = append(s.instances, i)
 		if n < zones {
 			seeds = append(seeds, i.peerProxies.control.Address)
