--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -228,7 +228,9 @@
 		}
 	}
 	for _, i := range s.instances {
-		i.Seeds = seeds
+		if !s.Paths { // without seeds, an instance watches the store from its start
+			i.Seeds = seeds
+		}
 		if err := i.start(); err != nil {
 			return err
 		}
