--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -17,7 +19,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (bool, error){
-	"session": runSession,
+	"session":   runSession,
+	"latestop":  runLateStop,
+	"lockorder": runLockOrder,
 }
 
 func main() {
@@ -40,6 +44,13 @@
 		return exitNotRun
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(w)
 	switch {
 	case err != nil:
--- a/review/standins/models.go
+++ b/review/standins/models.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	servers map[string]*modelServer // by address
 	foreign int                     // requests that went on from the memory of another one
+	begun   map[string]int          // runs by request id
 }
 
 // generation is a generation whose memory a server may hold.
@@ -120,13 +121,21 @@
 // recordRun records that a server begins to run a request, with the memory from which it goes on.
 func (m *models) recordRun(s *modelServer, own, memory generation, last int, r *http.Request) {
 	m.world.log("server %s runs %s (%q) after event %d, Kv-From %q, backup at %q", s.id, own.id, own.body, last, r.Header.Get("Kv-From"), r.Header.Get("Ragwortwall-Kv-Backup"))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.begun[own.id]++
 	if memory.body == own.body {
 		return
 	}
 	m.world.log("BROKEN: %s (%q) goes on from the memory of another request, %s (%q)", own.id, own.body, memory.id, memory.body)
+	m.foreign++
+}
+
+// hasRun reports whether a server has begun to run a request.
+func (m *models) hasRun(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.foreign++
+	return m.begun[id] > 0
 }
 
 // foreignMemories returns how many requests went on from the memory of another one.
--- a/review/standins/session.go
+++ b/review/standins/session.go
@@ -106,7 +106,7 @@
 
 // attempt sends the request on a new channel and reads the events of the answer.
 func (q *requester) attempt(target *instance, left time.Duration) error {
-	id := fmt.Sprintf("%s%02x%s", q.part, q.attempts, strconv.FormatUint(uint64(len(q.body)), 16))
+	id := fmt.Sprintf("%016x", time.Now().UnixNano())
 	r, err := http.NewRequest(http.MethodPost, "http://"+target.address(frontPort)+"/drafts/2f", bytes.NewReader([]byte(q.body)))
 	if err != nil {
 		return err
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,8 @@
 	storeAPI *httptest.Server
 	models   *models
 
+	storeAddresses []string // of the store for the first instances, if not that of storeAPI
+
 	mu        sync.Mutex
 	record    *os.File
 	instances []*instance
@@ -43,7 +46,7 @@
 	}
 	w := &world{trouble: trouble, program: program, dir: dir, begun: time.Now(), record: file}
 	w.storeAPI = httptest.NewServer(&w.store)
-	w.models = &models{world: w, servers: map[string]*modelServer{}}
+	w.models = &models{world: w, servers: map[string]*modelServer{}, begun: map[string]int{}}
 	w.log("disruption: %v", trouble)
 	return w, nil
 }
@@ -123,6 +126,10 @@
 
 // writeSettings writes the settings file: the fields of DEPLOY.md with the figures of its example.
 func (i *instance) writeSettings(seeds []string) error {
+	store := i.world.storeAPI.Listener.Addr().String()
+	if n := slices.Index(i.world.instances, i); n < len(i.world.storeAddresses) {
+		store = i.world.storeAddresses[n]
+	}
 	content, err := json.Marshal(map[string]any{
 		"node_name": i.name, "role": "entry", "machine_class": "front", "serves": []string{"front", "control"},
 		"ip": i.ip, "zone": i.zone, "region": "amman",
@@ -137,7 +144,7 @@
 			"exposure_slack": 50, "rollback_ms": 5000, "recovery_s": 12, "pass_ms": 120, "reuse_window_s": 10,
 		},
 		"platform": map[string]any{
-			"address": i.world.storeAPI.Listener.Addr().String(), "form": "objects", "writes_per_s": 400, "reads_per_s": 2000,
+			"address": store, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000,
 			"history_retention_s": 20, "max_value_bytes": 1048576,
 		},
 	})
