--- a/review/standins/session.go
+++ b/review/standins/session.go
@@ -21,7 +21,8 @@
 	streamInterval   = 35 * time.Millisecond
 	killAfter        = 1500 * time.Millisecond // the beginning of the last stream
 	restartAfter     = 500 * time.Millisecond
-	requesterRetry   = 100 * time.Millisecond
+	requesterRetry   = 100 * time.Millisecond // of the first requester of a session; the second one waits longer
+	secondRetry      = 250 * time.Millisecond
 	streamTimeBudget = 25 * time.Second
 )
 
@@ -47,7 +48,7 @@
 	for session := range sessions {
 		for n, question := range []string{"Arabic", "English"} {
 			q := requester{
-				world: w, part: fmt.Sprintf("5e55%04x", session), body: fmt.Sprintf("session %d: letter the aisle in %s", session, question),
+				world: w, pause: requesterRetry + time.Duration(n)*(secondRetry-requesterRetry), part: fmt.Sprintf("5e55%04x", session), body: fmt.Sprintf("session %d: letter the aisle in %s", session, question),
 				route: []*instance{w.instances[0], w.instances[1+n], w.instances[2-n]},
 			}
 			running.Go(func() {
@@ -83,6 +84,7 @@
 // requester sends one generation and resumes it after a broken channel, as PROTOCOL.md tells.
 type requester struct {
 	world      *world
+	pause      time.Duration // before another attempt
 	part, body string
 	route      []*instance // where the first attempt and the next ones go
 	last       int         // event received last
@@ -91,7 +93,7 @@
 }
 
 func (q *requester) run() {
-	for begun := time.Now(); q.last < streamEvents && time.Since(begun) < streamTimeBudget; time.Sleep(requesterRetry) {
+	for begun := time.Now(); q.last < streamEvents && time.Since(begun) < streamTimeBudget; time.Sleep(q.pause) {
 		target := q.route[min(q.attempts, len(q.route)-1)]
 		if q.attempts >= len(q.route) {
 			target = q.route[1+q.attempts%2]
