--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,13 @@
 #!/usr/bin/env bash
 # Two of three instances of a zone are stopped in turn; one takes a stream late (see claim.txt).
 cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/rwentry ] || [ ! -x target/review/standins ]; then
+	echo "build first: the deploy file's command, then review/build.sh" >&2
+	exit 2
+fi
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec timeout -k 5 115 target/review/standins --program target/rwentry --record review/3/record.txt --trouble=$trouble latestop
+timeout -k 5 115 target/review/standins --program target/rwentry --record review/3/record.txt --trouble=$trouble latestop
+result=$?
+[ "$result" -le 2 ] || result=2
+exit "$result"
