--- a/review/standins/lockorder.go
+++ b/review/standins/lockorder.go
@@ -193,12 +193,16 @@
 
 // order sends an order and returns the status of its answer, zero for none.
 func (w *world) order(i *instance) int {
-	r, err := http.NewRequest(http.MethodPost, "http://"+i.address(frontPort)+"/orders/x", strings.NewReader("release"))
+	return w.orderAs(fmt.Sprintf("%016x", time.Now().UnixNano()), i)
+}
+
+// orderAs is order with a request id.
+func (w *world) orderAs(id string, i *instance) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+i.address(frontPort)+"/orders/x", strings.NewReader("release "+id))
 	if err != nil {
 		return 0
 	}
 	r.Host = standin.Host
-	id := fmt.Sprintf("%016x", time.Now().UnixNano())
 	r.Header.Set("Ragwortwall-Request-Id", id)
 	r.Header.Set("Ragwortwall-Request-Deadline", "4000")
 	r.Header.Set("Authorization", "Bearer "+standin.Key)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 	"session":   runSession,
 	"latestop":  runLateStop,
 	"lockorder": runLockOrder,
+	"silent":    runSilent,
 }
 
 func main() {
