--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# The open channels to the store go silent, and a server drains meanwhile (see claim.txt).
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/rwentry ] || [ ! -x target/review/standins ]; then
+	echo "build first: the deploy file's command, then review/build.sh" >&2
+	exit 2
+fi
+trouble=true
+[ "${TROUBLE:-1}" = 0 ] && trouble=false
+timeout -k 5 115 target/review/standins --program target/rwentry --record review/5/record.txt --trouble=$trouble silent
+result=$?
+[ "$result" -le 2 ] || result=2
+exit "$result"
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,6 +23,7 @@
 	"latestop":  runLateStop,
 	"lockorder": runLockOrder,
 	"silent":    runSilent,
+	"unseen":    runUnseen,
 }
 
 func main() {
--- a/review/standins/silent.go
+++ b/review/standins/silent.go
@@ -18,6 +18,93 @@
 	orderRate   = 60                     // requests a second
 )
 
+// Figures of the case "unseen".
+const (
+	moveAt         = 3200 * time.Millisecond // a roll-out is ordered, from the moment at which channels go silent
+	moveSeconds    = 15
+	moveFailsEvery = 10 // answers of the bad version
+	exposureShare  = 0.1
+	exposureSlack  = 50
+	movesRate      = 84
+)
+
+// runUnseen lets the open channels to the store go silent, while new ones work. Once all instances
+// are in touch again, the operator orders a roll-out, to a version that is bad. It must not get
+// more than its share of the requests.
+func runUnseen(w *world) (bool, error) {
+	o := &orders{world: w}
+	defer o.close()
+	w.store.Configure(standin.Configuration{Version: 1, Keys: []string{standin.Key}})
+	zones := []string{"amman-a", "amman-b", "amman-c"}
+	for _, zone := range zones {
+		if _, err := o.start("i-"+zone, zone); err != nil {
+			return false, err
+		}
+	}
+	links, err := w.startBehindLinks(zones)
+	if err != nil {
+		return false, err
+	}
+	defer closeLinks(links)
+	time.Sleep(4 * time.Second)
+	end := make(chan struct{})
+	var load sync.WaitGroup
+	sent := &sentTimes{at: map[string]time.Time{}}
+	load.Go(func() { w.sendOrders(end, movesRate, sent) })
+	time.Sleep(2 * time.Second)
+	// An order for another service: all instances have just begun a new watch on the orders.
+	w.store.Put("rollouts", standin.ModelService, map[string]any{"service": standin.ModelService, "target": "v2", "duration_s": 60})
+	w.log("the operator orders v2 of %s, which has no servers yet", standin.ModelService)
+	time.Sleep(startBefore)
+	silentAt := time.Now()
+	if w.trouble {
+		w.log("the open channels of all instances to the store go silent; new ones work")
+		for _, l := range links {
+			l.silence()
+		}
+	}
+	sleepUntil(silentAt.Add(moveAt))
+	w.store.Put("rollouts", standin.OrderService, map[string]any{"service": standin.OrderService, "target": "v2", "duration_s": moveSeconds})
+	ordered := time.Now()
+	w.log("the operator orders v2 of %s, within %d s", standin.OrderService, moveSeconds)
+	for _, zone := range zones {
+		if _, err := o.startVersion("i-v2-"+zone, zone, "v2", moveFailsEvery); err != nil {
+			return false, err
+		}
+	}
+	sleepUntil(ordered.Add(moveSeconds * time.Second))
+	close(end)
+	load.Wait()
+	w.log("status of the order: %s", w.store.Status("rollouts", standin.OrderService))
+	return o.judgeExposure(ordered), nil
+}
+
+// judgeExposure reports whether the bad version got more than its share between the order and its
+// time budget.
+func (o *orders) judgeExposure(ordered time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	total, bad, failed := 0, 0, 0
+	bySecond := make([]int, moveSeconds)
+	for _, a := range o.arrivals {
+		since := a.at.Sub(ordered)
+		if since < 0 || since >= moveSeconds*time.Second {
+			continue
+		}
+		total++
+		if a.version == "v2" {
+			bad++
+			bySecond[int(since.Seconds())]++
+			if a.failed {
+				failed++
+			}
+		}
+	}
+	allowed := exposureShare*float64(total) + exposureSlack
+	o.world.log("%d requests reached the service in %d s; %d of them the bad version, which failed %d; allowed %.0f; by second: %v", total, moveSeconds, bad, failed, allowed, bySecond)
+	return float64(bad) > allowed
+}
+
 // runSilent lets the open channels to the store go silent, while new ones work. A server drains
 // meanwhile. Instances that are in touch again must not send it requests.
 func runSilent(w *world) (bool, error) {
@@ -51,7 +138,7 @@
 	end := make(chan struct{})
 	var load sync.WaitGroup
 	sent := &sentTimes{at: map[string]time.Time{}}
-	load.Go(func() { w.sendOrders(end, sent) })
+	load.Go(func() { w.sendOrders(end, orderRate, sent) })
 	time.Sleep(2 * time.Second)
 	if _, err := o.start("i-new", zones[0]); err != nil {
 		return false, err
@@ -114,8 +201,8 @@
 }
 
 // sendOrders sends orders to the instances in turn until the channel is closed.
-func (w *world) sendOrders(end <-chan struct{}, times *sentTimes) {
-	ticker := time.NewTicker(time.Second / orderRate)
+func (w *world) sendOrders(end <-chan struct{}, rate int, times *sentTimes) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	var sent sync.WaitGroup
 	defer sent.Wait()
@@ -151,6 +238,27 @@
 	return l, nil
 }
 
+// startBehindLinks starts an instance in each of the zones, which reaches the store over a link of
+// its own.
+func (w *world) startBehindLinks(zones []string) ([]*link, error) {
+	var links []*link
+	for range zones {
+		l, err := newLink(w.storeAPI.Listener.Addr().String())
+		if err != nil {
+			return links, err
+		}
+		links = append(links, l)
+		w.storeAddresses = append(w.storeAddresses, l.listener.Addr().String())
+	}
+	return links, w.startInstances(zones...)
+}
+
+func closeLinks(links []*link) {
+	for _, l := range links {
+		l.close()
+	}
+}
+
 // silence makes the open channels silent.
 func (l *link) silence() {
 	l.mu.Lock()
