--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,6 +24,7 @@
 	"lockorder": runLockOrder,
 	"silent":    runSilent,
 	"unseen":    runUnseen,
+	"held":      runHeld,
 }
 
 func main() {
--- a/review/standins/models.go
+++ b/review/standins/models.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,7 +22,8 @@
 type models struct {
 	world         *world
 	eventInterval time.Duration
-	events        int // of a stream
+	events        int           // of a stream
+	prefill       time.Duration // time to read a prompt; 150 ms if zero
 
 	mu      sync.Mutex
 	servers map[string]*modelServer // by address
@@ -42,12 +46,12 @@
 }
 
 type modelServer struct {
-	models      *models
-	id, address string
-	born        int64
-	http        *http.Server
-	mu          sync.Mutex
-	copies      map[string]generation // by request id of the run
+	models            *models
+	id, address, zone string
+	born              int64
+	http              *http.Server
+	mu                sync.Mutex
+	copies            map[string]generation // by request id of the run
 }
 
 // handleTTL is how long the copy of a run that failed is kept.
@@ -55,11 +59,16 @@
 
 // start starts a server and lists it.
 func (m *models) start(n int, zone string) error {
-	listener, err := listen()
+	return m.startAt(n, zone, "127.0.0.1:0")
+}
+
+// startAt is start at an address.
+func (m *models) startAt(n int, zone, address string) error {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s := &modelServer{models: m, id: fmt.Sprintf("i-%08x", 0x51a0+n), address: listener.Addr().String(), born: time.Now().UnixMilli(), copies: map[string]generation{}}
+	s := &modelServer{models: m, zone: zone, id: fmt.Sprintf("i-%08x", 0x51a0+n), address: listener.Addr().String(), born: time.Now().UnixMilli(), copies: map[string]generation{}}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	m.mu.Lock()
 	m.servers[s.address] = s
@@ -72,6 +81,24 @@
 	return nil
 }
 
+// crashAll crashes all servers. They start again after a time, as new processes with new ids.
+func (m *models) crashAll(down time.Duration) error {
+	m.mu.Lock()
+	crashed := slices.Collect(maps.Values(m.servers))
+	m.mu.Unlock()
+	for _, s := range crashed {
+		_ = s.http.Close()
+	}
+	time.Sleep(down)
+	for n, s := range crashed {
+		m.world.store.Delete("servers", s.id)
+		if err := m.startAt(1000+n, s.zone, s.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (m *models) close() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -170,7 +197,11 @@
 	}
 	s.models.recordRun(s, own, memory, last, r)
 	if memory.id == id && last == 0 {
-		time.Sleep(150 * time.Millisecond) // the prompt is read
+		select {
+		case <-time.After(cmp.Or(s.models.prefill, 150*time.Millisecond)):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
 	}
 	w.Header().Set("Ragwortwall-Upstream-Signature", "sign."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
