--- a/review/standins/held.go
+++ b/review/standins/held.go
@@ -14,7 +14,7 @@
 
 // Figures of the case "held".
 const (
-	heldRate      = 12 // streams a second
+	heldRate      = 30 // streams a second
 	heldEvents    = 60
 	heldInterval  = 20 * time.Millisecond
 	heldPrefill   = 600 * time.Millisecond
