--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts start, into target/review/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review/ ./review/standins
+go build -buildvcs=false -o target/review/ ./review/standins
