--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,6 +25,12 @@
 	"silent":    runSilent,
 	"unseen":    runUnseen,
 	"held":      runHeld,
+
+	"slowtokens": runSlowTokens,
+	"forgotten":  runForgotten,
+	"laterbad":   runLaterBad,
+	"emptied":    runEmptied,
+	"oneroute":   runOneRoute,
 }
 
 func main() {
--- a/review/standins/models.go
+++ b/review/standins/models.go
@@ -29,6 +29,14 @@
 	servers map[string]*modelServer // by address
 	foreign int                     // requests that went on from the memory of another one
 	begun   map[string]int          // runs by request id
+	runs    []modelRun
+}
+
+// modelRun is a run of a request at a server.
+type modelRun struct {
+	id, version string
+	at, ended   time.Time // ended is zero until the whole answer was written
+	bad         bool      // the answer takes slowerOnPath times as long
 }
 
 // generation is a generation whose memory a server may hold.
@@ -48,6 +56,9 @@
 type modelServer struct {
 	models            *models
 	id, address, zone string
+	version           string
+	interval          time.Duration // between its events; that of models if zero
+	slowPath          string        // prefix of the paths whose answers take slowerBy times as long; empty for none
 	born              int64
 	http              *http.Server
 	mu                sync.Mutex
@@ -64,21 +75,32 @@
 
 // startAt is start at an address.
 func (m *models) startAt(n int, zone, address string) error {
+	_, err := m.startVersion(n, zone, address, "v1", 0)
+	return err
+}
+
+// startVersion is startAt for a version of the server software, with the time between its events.
+func (m *models) startVersion(n int, zone, address, version string, interval time.Duration) (*modelServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s := &modelServer{models: m, zone: zone, id: fmt.Sprintf("i-%08x", 0x51a0+n), address: listener.Addr().String(), born: time.Now().UnixMilli(), copies: map[string]generation{}}
+	s := &modelServer{models: m, zone: zone, version: version, interval: interval, id: fmt.Sprintf("i-%08x", 0x51a0+n), address: listener.Addr().String(), born: time.Now().UnixMilli(), copies: map[string]generation{}}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	m.mu.Lock()
 	m.servers[s.address] = s
 	m.mu.Unlock()
 	go func(l net.Listener) { _ = s.http.Serve(l) }(listener)
-	m.world.store.Put("servers", s.id, map[string]any{
-		"service": standin.ModelService, "address": s.address, "zone": zone, "version": "v1", "slots": 12,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": s.born,
+	s.register("ready")
+	return s, nil
+}
+
+// register writes the server's entry.
+func (s *modelServer) register(state string) {
+	s.models.world.store.Put("servers", s.id, map[string]any{
+		"service": standin.ModelService, "address": s.address, "zone": s.zone, "version": s.version, "slots": 12,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": s.born,
 	})
-	return nil
 }
 
 // crashAll crashes all servers. They start again after a time, as new processes with new ids.
@@ -146,16 +168,33 @@
 }
 
 // recordRun records that a server begins to run a request, with the memory from which it goes on.
-func (m *models) recordRun(s *modelServer, own, memory generation, last int, r *http.Request) {
+func (m *models) recordRun(s *modelServer, own, memory generation, last int, r *http.Request) (run int) {
 	m.world.log("server %s runs %s (%q) after event %d, Kv-From %q, backup at %q", s.id, own.id, own.body, last, r.Header.Get("Kv-From"), r.Header.Get("Ragwortwall-Kv-Backup"))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.begun[own.id]++
+	m.runs = append(m.runs, modelRun{id: own.id, version: s.version, at: time.Now()})
+	run = len(m.runs) - 1
 	if memory.body == own.body {
-		return
+		return run
 	}
 	m.world.log("BROKEN: %s (%q) goes on from the memory of another request, %s (%q)", own.id, own.body, memory.id, memory.body)
 	m.foreign++
+	return run
+}
+
+// markBad records that the answer of a run takes longer.
+func (m *models) markBad(run int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs[run].bad = true
+}
+
+// endRun records that the whole answer of a run was written.
+func (m *models) endRun(run int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs[run].ended = time.Now()
 }
 
 // hasRun reports whether a server has begun to run a request.
@@ -195,10 +234,15 @@
 		}
 		memory = generation{id: held.id, body: held.body}
 	}
-	s.models.recordRun(s, own, memory, last, r)
+	run := s.models.recordRun(s, own, memory, last, r)
+	slower := time.Duration(1)
+	if s.slowPath != "" && strings.HasPrefix(r.URL.Path, s.slowPath) {
+		slower = slowerOnPath
+		s.models.markBad(run)
+	}
 	if memory.id == id && last == 0 {
 		select {
-		case <-time.After(cmp.Or(s.models.prefill, 150*time.Millisecond)):
+		case <-time.After(slower * cmp.Or(s.models.prefill, 150*time.Millisecond)):
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
@@ -214,9 +258,10 @@
 		}
 		_ = http.NewResponseController(w).Flush()
 		backup.keep(id, memory)
-		time.Sleep(s.models.eventInterval)
+		time.Sleep(slower * cmp.Or(s.interval, s.models.eventInterval))
 	}
 	backup.forget(id)
+	s.models.endRun(run)
 	log("server %s: run of %s ends", s.id, id)
 }
 
--- a/review/standins/orders.go
+++ b/review/standins/orders.go
@@ -25,13 +25,21 @@
 	at                  time.Time
 	server, version, id string
 	failed              bool
+	bad                 bool // the answer is worse than that of a good version
+}
+
+// orderBehaviour is how a server answers a request.
+type orderBehaviour struct {
+	work        time.Duration
+	failed, bad bool
 }
 
 type orderServer struct {
 	orders            *orders
 	id, address, zone string
 	version           string
-	failsEvery        int // every one of so many answers is a failure; 0 for none
+	failsEvery        int                                  // every one of so many answers is a failure; 0 for none
+	behave            func(r *http.Request) orderBehaviour // of each answer; nil for orderWork and failsEvery
 	born              int64
 	http              *http.Server
 
@@ -46,11 +54,20 @@
 
 // startVersion is start for a version.
 func (o *orders) startVersion(id, zone, version string, failsEvery int) (*orderServer, error) {
+	return o.startServer(&orderServer{orders: o, id: id, zone: zone, version: version, failsEvery: failsEvery})
+}
+
+// startBehaving is start for a version, with what it does.
+func (o *orders) startBehaving(id, zone, version string, behave func(*http.Request) orderBehaviour) (*orderServer, error) {
+	return o.startServer(&orderServer{orders: o, id: id, zone: zone, version: version, behave: behave})
+}
+
+func (o *orders) startServer(s *orderServer) (*orderServer, error) {
 	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
-	s := &orderServer{orders: o, id: id, zone: zone, version: version, failsEvery: failsEvery, address: listener.Addr().String(), born: time.Now().UnixMilli()}
+	s.address, s.born = listener.Addr().String(), time.Now().UnixMilli()
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.http.Serve(listener) }()
 	o.mu.Lock()
@@ -94,10 +111,15 @@
 	s.handled++
 	failed := s.failsEvery > 0 && s.handled%s.failsEvery == 0
 	s.mu.Unlock()
+	b := orderBehaviour{work: orderWork, failed: failed}
+	if s.behave != nil {
+		b = s.behave(r)
+		failed = b.failed
+	}
 	s.orders.mu.Lock()
-	s.orders.arrivals = append(s.orders.arrivals, orderArrival{at, s.id, s.version, id, failed})
+	s.orders.arrivals = append(s.orders.arrivals, orderArrival{at: at, server: s.id, version: s.version, id: id, failed: b.failed, bad: b.bad})
 	s.orders.mu.Unlock()
-	time.Sleep(orderWork)
+	time.Sleep(b.work)
 	w.Header().Set("Ragwortwall-Upstream-Signature", "sign."+id)
 	if failed {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -28,6 +28,8 @@
 	storeAPI *httptest.Server
 	models   *models
 
+	twoRoutes bool // there are two routes to the model servers
+
 	storeAddresses []string // of the store for the first instances, if not that of storeAPI
 
 	mu        sync.Mutex
