Review: an order that was rolled back and is written again is taken back by a stale instance

An instance that missed the deletion of the former order keeps its state: Moves.Put joins orders of the same name and target by the later state.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A version that turns bad late is rolled out (see claim.txt).
+# Two of three instances of a zone are stopped in turn; one takes a stream late (see claim.txt).
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/rwentry ] || [ ! -x target/review/standins ]; then
 	echo "build first: the deploy file's command, then review/build.sh" >&2
@@ -7,7 +7,7 @@
 fi
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-timeout -k 3 116 target/review/standins --program target/rwentry --record review/5/record.txt --trouble=$trouble laterbad
+timeout -k 5 115 target/review/standins --program target/rwentry --record review/5/record.txt --trouble=$trouble latestop
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -31,6 +31,7 @@
 	"laterbad":   runLaterBad,
 	"emptied":    runEmptied,
 	"oneroute":   runOneRoute,
+	"reordered":  runReordered,
 }
 
 func main() {
