A resumed stream goes on only from the memory of its own request

Cause: runs were looked up by the last part of the prompt, which all requests of a session share; the run that was reported last won, also when reported as ended.

Fix: runs carry a digest of all that decides what is generated, and their generation. Memory is used only of the one generation with that digest; with several, or with a run of a build without it, the prompt cache alone is used.

--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -123,8 +123,8 @@
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
 	}
-	fmt.Printf("seed %d: %d faults, %d streams (%d unfinished, %d attempts cut, longest pause %.2f s), %d of %d orders done, %d of %d requests cut on kept connections, %d servers crashed by a request, %d guarantees broken\n",
-		seed, len(report.Faults), report.Streams, report.Unfinished, report.CutStreams, report.LongestPause, report.OrdersDone, report.Orders, report.Cut, report.Kept, report.Crashes, len(report.Violations))
+	fmt.Printf("seed %d: %d faults, %d streams (%d unfinished, %d attempts cut, %d prompts read, longest pause %.2f s), %d of %d orders done, %d of %d requests cut on kept connections, %d servers crashed by a request, %d guarantees broken\n",
+		seed, len(report.Faults), report.Streams, report.Unfinished, report.CutStreams, report.Prefills, report.LongestPause, report.OrdersDone, report.Orders, report.Cut, report.Kept, report.Crashes, len(report.Violations))
 	if o.Parts {
 		fmt.Printf("  %d late arrivals of the crashing part; sound requests begun: %v before, %v after\n", report.LateParts, report.SoundBefore, report.SoundAfter)
 	}
--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -19,6 +19,9 @@
 	// runTTL is how long a run counts after it was placed, as its owner may have
 	// stopped without announcing its end: slightly above the longest route timeout in use.
 	runTTL = 30 * time.Second
+	// maxRunTime is how long a run whose end wasn't announced is remembered as one of its
+	// request. Generations may run for minutes.
+	maxRunTime = 5 * time.Minute
 	// initialPrefillRate is the prefill rate assumed before the first measurement, in
 	// prompt tokens per second, as specified for the model servers.
 	initialPrefillRate = 5000
@@ -35,18 +38,19 @@
 	mu            sync.Mutex
 	servers       map[string]*Server
 	services      map[string][]*Server
-	runs          map[string]*Run         // by request id
-	parts         map[string]*Run         // newest run by id of the last part of its prompt
-	statements    map[process]*statements // of the processes that have said something of themselves
-	prefillRate   float64                 // average, in prompt tokens per second
-	tokenInterval float64                 // average, in seconds
+	runs          map[string]*Run            // by request id
+	parts         map[string]*Run            // newest run by id of the last part of its prompt
+	requests      map[string]map[string]*Run // runs by Run.Request and request id
+	statements    map[process]*statements    // of the processes that have said something of themselves
+	prefillRate   float64                    // average, in prompt tokens per second
+	tokenInterval float64                    // average, in seconds
 }
 
 // NewDirectory returns an empty directory for the instance with the given name.
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(),
+		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(),
 	}
 }
 
--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -11,7 +11,7 @@
 	Owner         string `json:"owner,omitempty"` // instance that relays the stream
 	Server        string `json:"server"`          // id of the server that executes the run
 	Copy          string `json:"copy,omitempty"`  // id of the server that holds the copy of the KV cache
-	Part          string `json:"part"`            // id of the last part of the prompt; identifies the stream
+	Part          string `json:"part"`            // id of the last part of the prompt, which other requests may have too
 	Prompt        int    `json:"prompt"`          // length of the prompt, in tokens
 	Output        int    `json:"output"`          // maximum length of the output, in tokens
 	PrefillTokens int    `json:"read"`            // prompt tokens to prefill before the first output token
@@ -19,10 +19,22 @@
 	Ended         bool   `json:"ended,omitempty"`
 	Lost          bool   `json:"lost,omitempty"` // the stream did not complete; its copy may serve to resume it
 
-	placedAt time.Time
-	endedAt  time.Time
+	// Request identifies what is generated: requests with the same one have the same
+	// content. It is empty in runs of builds that don't send it.
+	Request string `json:"request,omitempty"`
+	// Generation is the same in all runs of one generation, that is of a request and the
+	// attempts that resumed it.
+	Generation string `json:"generation,omitempty"`
+
+	placedAt     time.Time
+	endedAt      time.Time
+	ownerStopped bool // the run ended with its owner, which may not have told that it started
 }
 
+// mayHaveSentEvents reports whether the caller may have events of the run, so that the caller
+// can resume it.
+func (r *Run) mayHaveSentEvents() bool { return !r.Ended || r.Started || r.ownerStopped }
+
 // hasStarted reports whether output has started, so that a copy of the KV cache can be
 // expected: either the owner reported the start, or enough time has passed for the
 // prefill. prefillRate is in tokens per second.
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -20,6 +20,8 @@
 	*call
 	copies          copyManager
 	sequence        *rwrelay.Sequencer // filters events that the caller already has
+	identity        string             // of the request's content, see rwbackend.Run.Request
+	generation      string             // see rwbackend.Run.Generation
 	run             rwbackend.Run      // as last published to the other instances
 	head            *http.Response     // latest response that a server began; its header is sent with the first event
 	headerSent      bool               // the caller has received the response header
@@ -52,7 +54,7 @@
 // lost, the stream continues on another one, if possible one that has its KV cache.
 func (c *call) serveStream() error {
 	c.f.Budget.Deposit(c.service.Name, retryBudgetRatio)
-	s := &stream{call: c, sequence: rwrelay.NewSequencer(c.info.Cursor, c.info.Resumed)}
+	s := &stream{call: c, sequence: rwrelay.NewSequencer(c.info.Cursor, c.info.Resumed), identity: c.identity(), generation: digest(c.info.ID)}
 	defer s.end()
 	if c.info.Resumed && !s.findPreviousRun() {
 		s.promptHolders = c.f.Finder.Find(c.r.Context(), c.service.Name, c.info.LastPart)
@@ -122,18 +124,22 @@
 	prefillTokens int    // prompt tokens to prefill first
 }
 
-// findPreviousRun looks up the latest run of a stream that the caller resumes. It
-// reports whether there is one.
+// findPreviousRun looks up the run that the caller resumes, and otherwise a run that has the
+// same last part of the prompt, whose server has the prompt cached. It reports whether there
+// is one of them.
 func (s *stream) findPreviousRun() bool {
-	run, ok := s.f.Directory.LatestRun(s.info.LastPart)
-	if !ok || run.ID == s.info.ID {
+	run, generations, ok := s.f.Directory.RunToResume(s.identity)
+	s.f.Counters.countGenerations(generations)
+	if ok && run.ID != s.info.ID {
+		s.run, s.generation = run, run.Generation
+	} else if run, ok = s.f.Directory.LatestRun(s.info.LastPart); !ok || run.ID == s.info.ID {
 		return false
 	}
-	s.run = run
 	if run.Started {
 		s.promptHolders = []string{run.Server}
 	}
-	s.f.Log.Info("stream resumed", "request", s.info.ID, "run", run.ID, "server", run.Server, "copy", run.Copy, "owner", run.Owner, "cursor", s.info.Cursor)
+	s.f.Log.Info("stream resumed", "request", s.info.ID, "identity", s.identity, "generations", generations, "run", run.ID, "known", s.run.ID != "",
+		"server", run.Server, "copy", run.Copy, "owner", run.Owner, "cursor", s.info.Cursor)
 	return true
 }
 
@@ -260,6 +266,7 @@
 	s.run = rwbackend.Run{
 		ID: s.info.ID, Owner: s.f.Directory.Self, Server: target.server.ID, Part: s.info.LastPart,
 		Prompt: s.info.Prompt, Output: s.info.MaxOutput, PrefillTokens: target.prefillTokens,
+		Request: s.identity, Generation: s.generation,
 	}
 	if target.placement.Copied {
 		s.run.Copy = target.placement.Copy.ID
--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -16,10 +16,11 @@
 	Key       string        // API key; empty if there is none
 	Prompt    int           // length of the prompt, in tokens
 	MaxOutput int           // maximum length of the output, in tokens
-	LastPart  string        // id of the last part of the prompt; identifies the stream across reconnects
+	LastPart  string        // id of the last part of the prompt, which other requests may have too
 	Cursor    int64         // id of the last event that the caller received
 	Resumed   bool          // the caller sent a cursor
 
+	Generation  []string // what else the headers say of what is generated: model, prompt and lengths
 	SharedParts []string // ids of the other parts of the prompt, in order, see BoundParts
 }
 
--- a/internal/rwpeer/upgrade_test.go
+++ b/internal/rwpeer/upgrade_test.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"testing"
 
+	"ragwortwall/internal/rwbackend"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -31,3 +33,37 @@
 		})
 	}
 }
+
+// TestRunOfFormerBuild guards against a stream that goes on from the memory of another request
+// because a former build doesn't say of which request a run is: only the cached prompt may be
+// used.
+func TestRunOfFormerBuild(t *testing.T) {
+	f := newMemoryFleet(t, 1, 2)
+	x := f.exchanges[0]
+	x.receive([]byte(`{"from":"entry-0-1","life":1,"runs":[{"id":"9c41d07be2a35f68","server":"s1","copy":"s2","part":"e4402b7d","prompt":5200,"output":1040,"read":5200,"begun":true}]}`))
+	latest, ok := x.Directory.LatestRun("e4402b7d")
+	require.True(t, ok)
+	require.Equal(t, "s1", latest.Server)
+	_, generations, ok := x.Directory.RunToResume("")
+	require.False(t, ok)
+	require.Zero(t, generations)
+}
+
+// TestFullNoticeFits guards against notices of runs that are not sent because they exceed a
+// datagram.
+func TestFullNoticeFits(t *testing.T) {
+	run := rwbackend.Run{
+		ID: "9c41d07be2a35f68", Server: "i-7f3a91c2", Copy: "i-7f3a91c3", Part: "e4402b7d", Prompt: 20_000, Output: 10_000, PrefillTokens: 20_000,
+		Started: true, Ended: true, Lost: true, Request: "AAAAAAAAAAAAAAAA", Generation: "AAAAAAAAAAAAAAAA",
+	}
+	n := Notice{From: "front-amman-a-1", Incarnation: 1_800_000_000_000, Relay: true}
+	for range maxRunsPerNotice {
+		n.Runs = append(n.Runs, run)
+	}
+	for range maxLostPerNotice / 4 {
+		n.LostServers = append(n.LostServers, run.Server)
+	}
+	content, err := json.Marshal(n)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(content), maxNoticeBytes)
+}
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -66,6 +66,7 @@
 	Faults       []string `json:"faults"` // start in seconds, name, target and duration in seconds of each fault
 	Streams      int      `json:"streams"`
 	Unfinished   int      `json:"unfinished"` // streams that did not end as complete
+	Prefills     int      `json:"reads"`      // prompts that model servers read from their start
 	Orders       int      `json:"orders"`
 	OrdersDone   int      `json:"done"`
 	LongestPause float64  `json:"pause"`        // longest pause between two events of a stream, in seconds
@@ -84,6 +85,7 @@
 const (
 	zones             = 3
 	streamCallers     = 6
+	callersPerSession = 2 // different prompts with the same last part
 	orderCallers      = 6
 	revokedKeyCallers = 6
 	startupTimeout    = 20 * time.Second
@@ -145,6 +147,7 @@
 	s.checkLimits()
 	s.checkStatements()
 	s.checkCuts()
+	s.report.Prefills = s.fleet.Prefills()
 	return s.report, nil
 }
 
@@ -294,16 +297,21 @@
 	c := standin.NewCaller(standin.Key, s.nextAddress)
 	c.OnCut = s.recordCutStream
 	for n := 0; ctx.Err() == nil; n++ {
-		s.readStream(ctx, c, fmt.Sprintf("%x%04x", caller+10, n))
+		prompt := fmt.Sprintf("%x%04x", caller+10, n)
+		session := fmt.Sprintf("5e55%x%04x", caller/callersPerSession, n)
+		if s.Former != "" {
+			session = prompt // former builds take another request of the session for this one
+		}
+		s.readStream(ctx, c, session, prompt)
 	}
 }
 
 // readStream reads one stream, records the result and reports whether the stream is
 // complete.
-func (s *Soak) readStream(ctx context.Context, c *standin.Caller, prompt string) bool {
+func (s *Soak) readStream(ctx context.Context, c *standin.Caller, session, prompt string) bool {
 	streamCtx, cancel := context.WithTimeout(ctx, streamTimeout)
 	defer cancel()
-	pause, err := c.Stream(streamCtx, prompt)
+	pause, err := c.StreamInSession(streamCtx, session, prompt)
 	if errors.Is(err, standin.ErrGuaranteeViolated) {
 		s.addViolation("%v", err)
 	}
@@ -406,7 +414,8 @@
 	}
 	served := 0
 	for n := range 2 * len(s.instances) {
-		if s.readStream(ctx, c, fmt.Sprintf("eeee%04x", n)) && s.sendOrder(ctx, c) {
+		prompt := fmt.Sprintf("eeee%04x", n)
+		if s.readStream(ctx, c, prompt, prompt) && s.sendOrder(ctx, c) {
 			served++
 		}
 	}
