No function of others is called with a lock of rwfeed held

Cause: Watcher.recordFailure held Watcher.mu and took Cache.mu for a log line; Cache.Update held Cache.mu, and ServerList.Apply took Watcher.mu.

Fix: Cache.Update calls Apply without Cache.mu, and counts the contents as confirmed afterwards; ServerList and Watcher call nobody while they are locked.

--- a/internal/rwfeed/cache.go
+++ b/internal/rwfeed/cache.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortwall/internal/rwtime"
+	"ragwortwall/pkg/rwset"
 
 	"github.com/go-logr/logr"
 )
@@ -51,9 +52,11 @@
 	Optional  bool              // not needed to serve callers
 	LostTTL   time.Duration     // how long lost objects are kept; zero for no limit
 	Outdated  func(Change) bool // reports whether a new era's object is older than the lost one, which is then kept; nil for never
-	Apply     func(Batch)       // called in order of position, by one goroutine at a time, with the cache locked
+	Apply     func(Batch)       // called in order of position, by one goroutine at a time; it must not call Update
 	Log       logr.Logger
 
+	updating sync.Mutex // held by Update, also while Apply runs; taken before mu and by nothing else
+
 	mu                sync.Mutex
 	objects           map[string]object
 	position          Position
@@ -81,39 +84,70 @@
 
 // Update applies a batch that the store confirmed at confirmedAt. It returns false
 // and changes nothing if the batch is older than the cache, or has only some of the
-// objects of a newer era.
+// objects of a newer era. The contents count as confirmed once Apply has returned.
 func (c *Cache) Update(b Batch, confirmedAt rwtime.BootTime) bool {
+	c.updating.Lock()
+	defer c.updating.Unlock()
+	outdated := c.outdatedChanges(b)
+	delta, first, accepted := c.merge(b, outdated)
+	if !accepted {
+		return false
+	}
+	if len(delta.Changes) > 0 || first {
+		c.Apply(delta)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	newEra := b.Era > c.position.Era
-	if b.Position().Before(c.position) || newEra && !b.Snapshot {
-		return false
+	c.confirmed = max(c.confirmed, confirmedAt)
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+	return true
+}
+
+// outdatedChanges returns the names of the objects of a batch of a newer era that Outdated
+// reports.
+func (c *Cache) outdatedChanges(b Batch) rwset.Set[string] {
+	outdated := rwset.New[string]()
+	if c.Outdated == nil || b.Era <= c.Position().Era {
+		return outdated
+	}
+	for _, change := range b.Changes {
+		if c.Outdated(change) {
+			outdated.Add(change.Name)
+		}
+	}
+	return outdated
+}
+
+// merge merges a batch into the cached objects. It returns the changes that were new, whether
+// it is the first batch, and whether it was accepted.
+func (c *Cache) merge(b Batch, outdated rwset.Set[string]) (delta Batch, first, accepted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	former := c.position
+	newEra := b.Era > former.Era
+	if b.Position().Before(former) || newEra && !b.Snapshot {
+		return Batch{}, false, false
 	}
 	if c.objects == nil {
 		c.objects = map[string]object{}
 		c.compactedRevision = b.Revision
 	}
-	first := c.confirmed == 0
+	first = c.confirmed == 0
 	if newEra && !first {
-		c.Log.Info("new era of the store", "kind", c.Kind, "from", c.position.String(), "to", b.Position().String())
+		c.Log.Info("new era of the store", "kind", c.Kind, "from", former.String(), "to", b.Position().String())
 		c.compactedRevision = b.Revision
 	}
-	delta := c.mergeLocked(b, newEra)
+	delta = c.mergeLocked(b, newEra, outdated)
 	c.position = b.Position()
-	c.confirmed = max(c.confirmed, confirmedAt)
-	if len(delta.Changes) > 0 || first {
-		c.Apply(delta)
-	}
-	if c.changed != nil {
-		close(c.changed)
-		c.changed = nil
-	}
-	return true
+	return delta, first, true
 }
 
 // mergeLocked merges a batch into the cached objects and returns the changes that were
 // new. In a new era these are all objects, as their revisions mean something else.
-func (c *Cache) mergeLocked(b Batch, newEra bool) Batch {
+func (c *Cache) mergeLocked(b Batch, newEra bool, outdated rwset.Set[string]) Batch {
 	delta := Batch{Era: b.Era, Revision: b.Revision}
 	now := time.Now()
 	accept := func(change Change) {
@@ -123,7 +157,7 @@
 	listed, seen := make(map[string]bool, len(b.Changes)), make(map[string]bool, len(b.Changes))
 	for _, change := range b.Changes {
 		listed[change.Name] = true
-		if old, known := c.objects[change.Name]; !known && change.Deleted || known && !c.supersedes(change, old.Change) {
+		if old, known := c.objects[change.Name]; !known && change.Deleted || known && !supersedes(change, old.Change, outdated) {
 			continue
 		}
 		seen[change.Name] = true
@@ -151,11 +185,11 @@
 }
 
 // supersedes reports whether a change replaces the cached state of its object.
-func (c *Cache) supersedes(change, old Change) bool {
+func supersedes(change, old Change, outdated rwset.Set[string]) bool {
 	if change.Position() == old.Position() {
 		return change.Deleted && !old.Deleted
 	}
-	if c.Outdated != nil && change.Era > old.Era && !old.Deleted && c.Outdated(change) {
+	if change.Era > old.Era && !old.Deleted && outdated.Has(change.Name) {
 		return false
 	}
 	return old.Position().Before(change.Position())
--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -28,7 +28,7 @@
 	ExpiryTime       time.Duration                // after which the store removes the entry of a server that is silent
 	Log              logr.Logger
 
-	mu       sync.Mutex
+	mu       sync.Mutex           // held while no function of others is called but those of Directory
 	missing  map[string]bool      // no longer listed, but still in the directory: an outage of the store may be the cause
 	removed  map[string]removal   // servers that were removed from the directory
 	unlisted map[string]time.Time // when servers that the store does not list yet were added
@@ -54,8 +54,23 @@
 // again unlisted. A leaving server stops answering long before.
 const removedRetention = 10 * time.Minute
 
+// decoded is a decoded change of the store's list.
+type decoded struct {
+	Change
+	entry rwbackend.Entry
+	err   error
+}
+
 // Apply applies changes of the store's list to the directory.
 func (s *ServerList) Apply(b Batch) {
+	changes := make([]decoded, len(b.Changes))
+	for n, c := range b.Changes {
+		changes[n].Change = c
+		if !c.Deleted {
+			changes[n].entry, changes[n].err = s.Decode(c.Name, c.Spec)
+		}
+	}
+	recoveredAt := s.StoreRecoveredAt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.missing == nil {
@@ -66,24 +81,23 @@
 	if newEra {
 		s.era, s.eraAt = b.Era, time.Now()
 	}
-	for _, c := range b.Changes {
+	for _, c := range changes {
 		delete(s.held, c.Name)
-		if c.Deleted || b.Lost(c) {
-			s.handleDeletionLocked(c.Name, b.Lost(c))
+		if lost := b.Lost(c.Change); c.Deleted || lost {
+			s.handleDeletionLocked(c.Name, lost || time.Since(recoveredAt) < relistTimeout)
 			continue
 		}
-		entry, err := s.Decode(c.Name, c.Spec)
-		if err != nil {
-			s.Log.Info("cannot decode server entry; removing the server", "server", c.Name, "cause", err.Error())
-			s.handleDeletionLocked(c.Name, false)
+		if c.err != nil {
+			s.Log.Info("cannot decode server entry; removing the server", "server", c.Name, "cause", c.err.Error())
+			s.handleDeletionLocked(c.Name, time.Since(recoveredAt) < relistTimeout)
 			continue
 		}
 		delete(s.missing, c.Name)
-		if newEra && s.contradictsLocked(entry) {
-			s.held[c.Name] = held{entry, c.Revision, time.Now().Add(relistTimeout + s.ExpiryTime)}
+		if newEra && s.contradictsLocked(c.entry) {
+			s.held[c.Name] = held{c.entry, c.Revision, time.Now().Add(relistTimeout + s.ExpiryTime)}
 			continue
 		}
-		s.putLocked(entry, c.Revision)
+		s.putLocked(c.entry, c.Revision)
 	}
 }
 
@@ -108,15 +122,14 @@
 	}
 }
 
-// handleDeletionLocked removes a server, or defers that until relistTimeout after an
-// outage of the store, as its entry may have expired because of the outage. It also defers
-// it if the store has lost the entry, and will have it again.
-func (s *ServerList) handleDeletionLocked(name string, lost bool) {
+// handleDeletionLocked removes a server, or defers that if its entry may be listed again: the
+// store has lost it, or has just recovered from an outage, in which entries expire.
+func (s *ServerList) handleDeletionLocked(name string, mayReturn bool) {
 	entry, ok := s.Directory.Entry(name)
 	if !ok {
 		return
 	}
-	if !entry.Leaving && (lost || time.Since(s.StoreRecoveredAt()) < relistTimeout) {
+	if !entry.Leaving && mayReturn {
 		s.missing[name] = true
 		return
 	}
@@ -179,9 +192,8 @@
 // entries that were held long enough. Once relistTimeout has passed since the store
 // recovered, it also removes the missing servers.
 func (s *ServerList) expire() {
-	// The cache calls Apply with its own lock held, so that calling Age with s.mu held
-	// could deadlock.
 	age, known := s.Age()
+	recoveredAt := s.StoreRecoveredAt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, h := range s.held {
@@ -196,7 +208,7 @@
 	if known {
 		s.expireUnlistedLocked(time.Now().Add(-age))
 	}
-	if time.Since(s.StoreRecoveredAt()) < relistTimeout {
+	if time.Since(recoveredAt) < relistTimeout {
 		return
 	}
 	for name := range s.missing {
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -58,7 +58,7 @@
 
 	needsList bool // the next call must be a list
 
-	mu           sync.Mutex
+	mu           sync.Mutex // held while no function of others is called
 	current      bool
 	overrun      time.Duration // how long after the requested wait the last response came
 	failing      *time.Timer   // ends current after failureGrace
@@ -198,31 +198,47 @@
 // recordSuccess records a successful call. After an outage it also records when the
 // store recovered.
 func (w *Watcher) recordSuccess(revision int64) {
+	if outage := w.endFailing(); outage > outageThreshold {
+		w.Log.Info("store recovered", "kind", w.Cache.Kind, "away", outage.Seconds(), "revision", revision)
+	}
+}
+
+// endFailing records that calls succeed again, and returns for how long they had failed.
+func (w *Watcher) endFailing() (outage time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.failingSince.IsZero() {
-		return
+		return 0
 	}
 	if w.failing != nil {
 		w.failing.Stop()
 	}
-	if outage := time.Since(w.failingSince); outage > outageThreshold {
-		w.Log.Info("store recovered", "kind", w.Cache.Kind, "away", outage.Seconds(), "revision", revision)
+	outage = time.Since(w.failingSince)
+	if outage > outageThreshold {
 		w.recoveredAt = time.Now()
 	}
 	w.failingSince = time.Time{}
+	return outage
 }
 
 // recordFailure records a failed call and logs the first failure in a row.
 func (w *Watcher) recordFailure(err error) {
 	w.count("failed")
+	if w.beginFailing() {
+		w.Log.Info("store call failed", "kind", w.Cache.Kind, "cause", err.Error(), "revision", w.Cache.Position().Revision)
+	}
+}
+
+// beginFailing records a failed call, and reports whether the call before it succeeded.
+func (w *Watcher) beginFailing() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failingSince.IsZero() {
-		w.failingSince = time.Now()
-		w.failing = time.AfterFunc(failureGrace, w.endCurrentIfFailing)
-		w.Log.Info("store call failed", "kind", w.Cache.Kind, "cause", err.Error(), "revision", w.Cache.Position().Revision)
+	if !w.failingSince.IsZero() {
+		return false
 	}
+	w.failingSince = time.Now()
+	w.failing = time.AfterFunc(failureGrace, w.endCurrentIfFailing)
+	return true
 }
 
 func (w *Watcher) endCurrentIfFailing() {
