A version move ends only while the servers that stay can take all requests

Cause: completion rested on the planned share and the clock; a version without an attempt counted as sound, and requests without a server of the new version went to the old ones.

Fix: instances watch what the servers of both versions can hold. The simulations of moves now say which servers there are, which the former ones left open; their checks and bounds are the same.

--- a/internal/rwentry/moves.go
+++ b/internal/rwentry/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortwall/internal/rwfeed"
+	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
 	"ragwortwall/internal/rwversion"
 )
@@ -13,6 +14,9 @@
 	// moveInterval is how often an instance sends its evidence about new versions to
 	// its peers and checks whether a step is due.
 	moveInterval = 500 * time.Millisecond
+	// capacityInterval is how often an instance looks which servers of a service with a move
+	// can take requests. Servers leave or crash within a second.
+	capacityInterval = 100 * time.Millisecond
 	// recordTimeout is the timeout of writing one step.
 	recordTimeout = 2 * time.Second
 )
@@ -41,6 +45,44 @@
 	}
 }
 
+// watchCapacity records the capacity of the services with moves until ctx ends.
+func (m *moves) watchCapacity(ctx context.Context) {
+	rwtime.Every(ctx, capacityInterval, func() {
+		for _, move := range m.tracker.Running() {
+			if c := m.capacity(move); m.tracker.SetCapacity(move.Service, c) {
+				m.instance.Log.Info("capacity of the new version", "service", move.Service, "target", move.Target, "enough", c.Enough(),
+					"servers", c.New.Servers, "requests", c.New.Requests, "tokens", c.New.Tokens, "old", c.Old.Servers, "running", c.Load.Requests, "held", c.Load.Tokens)
+			}
+		}
+	})
+}
+
+// capacity returns what is known of the servers of a service with a move.
+func (m *moves) capacity(move rwversion.Move) rwversion.Capacity {
+	var engine rwroute.Engine
+	if table := m.instance.feeds.desiredState.Table(); table != nil {
+		if service, ok := table.Service(move.Service); ok {
+			engine = service.Engine
+		}
+	}
+	var c rwversion.Capacity
+	for _, v := range m.instance.directory.All() {
+		if v.Service != move.Service {
+			continue
+		}
+		c.Load = c.Load.Plus(rwversion.Room{Requests: max(v.Runs, v.Plain+v.OtherRequests), Tokens: v.Committed})
+		room := rwversion.Room{Servers: 1, Requests: max(v.Slots, engine.Slots), Tokens: engine.Memory}
+		switch {
+		case v.Leaving || v.SaidLeaving:
+		case v.Version != move.Target:
+			c.Old = c.Old.Plus(room)
+		case !v.Suspect:
+			c.New = c.New.Plus(room)
+		}
+	}
+	return c
+}
+
 // run sends evidence to the peers and records due steps until ctx ends.
 func (m *moves) run(ctx context.Context) {
 	rwtime.Every(ctx, moveInterval, func() {
--- a/internal/rwmove/decider.go
+++ b/internal/rwmove/decider.go
@@ -208,7 +208,10 @@
 	}
 	before, after := d.Mover.evidence(move)
 	plan := Planner{Move: move, Now: time.Now(), Before: before, After: after, BadReason: d.badReason(move, before, after), SoakElapsed: d.soakElapsed(move)}
-	if move.Phase == rwtree.PhaseLoading && plan.BadReason == "" {
+	switch {
+	case move.Phase != rwtree.PhaseLoading:
+		plan.Loaded = d.canServe(move)
+	case plan.BadReason == "":
 		plan.Loaded = d.ensureLoaded(ctx, move)
 	}
 	next, changed := plan.Next()
@@ -317,6 +320,13 @@
 	return len(missing) == 0 && len(have) > 0
 }
 
+// canServe reports whether at least half of the route's available servers have the new
+// version, so that the old one is not needed.
+func (d *Decider) canServe(move rwtree.Move) bool {
+	have, missing := d.partitionServers(move, move.To)
+	return len(have) > 0 && len(have) >= len(missing)
+}
+
 // ensureUnloaded orders servers to unload the old version once no generation is
 // pinned to it, and completes the move when no available server has it.
 func (d *Decider) ensureUnloaded(ctx context.Context, move rwtree.Move) {
@@ -327,7 +337,7 @@
 		}
 		return
 	}
-	if d.Mover.hasPinned(move) || !d.mayOrder(have) {
+	if d.Mover.hasPinned(move) || !d.mayOrder(have) || !d.canServe(move) {
 		return
 	}
 	for _, s := range have {
--- a/internal/rwmove/plan.go
+++ b/internal/rwmove/plan.go
@@ -27,7 +27,7 @@
 	Before      rwevidence.Evidence // of the old version
 	After       rwevidence.Evidence // of the new version
 	BadReason   string              // why the new version was found bad; empty if it was not
-	Loaded      bool                // the servers have loaded the new version
+	Loaded      bool                // the servers have the new version: see Decider.ensureLoaded and, after the phase of loading, Decider.canServe
 	SoakElapsed time.Duration       // since the soak began
 }
 
@@ -109,12 +109,18 @@
 }
 
 // stepSoaking completes the move after the soak time, or at the deadline if that is
-// earlier.
+// earlier. The old version may be unloaded then, so the servers must have the new one.
 func (p Planner) stepSoaking() (rwtree.Move, bool) {
 	m := p.Move
 	if p.SoakElapsed < m.SoakTime() && p.Now.Before(m.Deadline) {
 		return m, false
 	}
+	if !p.Loaded {
+		if p.Now.Before(m.Deadline) {
+			return m, false
+		}
+		return m.WithShare(0).WithPhase(rwtree.PhaseTakenBack, p.withEvidence("taken back: at the deadline too few servers have the new version")), true
+	}
 	text := "done: the new version held all traffic through the soak"
 	if p.After.Attempts < minEvidenceRuns {
 		text = "done on thin evidence: the route had little traffic"
--- a/internal/rwversion/moves.go
+++ b/internal/rwversion/moves.go
@@ -76,6 +76,10 @@
 	Begun   float64             `json:"begun"`         // attempts on the new version, with and without a result
 	Overdue float64             `json:"overdue"`       // of the results of the new version, attempts that are late and still without one
 	Bad     string              `json:"bad,omitempty"` // why the new version was found bad; empty if it was not
+
+	// Short tells that the instance reaches old servers, but too few of the new version to take
+	// all requests.
+	Short bool `json:"short,omitempty"`
 }
 
 // Moves holds the version moves of all services. It is safe for concurrent use; the zero
@@ -95,11 +99,15 @@
 	trusted   bool      // enough results speak for the new version
 	own       Total     // evidence of this instance, without pending attempts
 	pending   map[*Attempt]bool
-	peers     map[string]Total // evidence of the other instances, by name
-	peerSum   Total            // of peers
-	badReason string           // why the new version was found bad; empty if it was not
-	sent      Total            // last returned by ChangedEvidence
-	sentAt    time.Time
+	supply    supply
+	peers     map[string]Total     // evidence of the other instances, by name
+	heard     map[string]time.Time // when it came
+
+	peersShortSince time.Time // since when other instances lack servers of the new version; zero if they don't
+	peerSum         Total     // of peers
+	badReason       string    // why the new version was found bad; empty if it was not
+	sent            Total     // last returned by ChangedEvidence
+	sentAt          time.Time
 }
 
 // Put adds or updates a move as read from the store. A move does not return
@@ -117,7 +125,7 @@
 		p = m.replaced[move.Service]
 		delete(m.replaced, move.Service)
 		if p == nil || !p.orderedBy(move) {
-			p = &progress{firstSeen: time.Now(), share: minTrialShare, pending: map[*Attempt]bool{}, peers: map[string]Total{}}
+			p = &progress{firstSeen: time.Now(), share: minTrialShare, pending: map[*Attempt]bool{}, peers: map[string]Total{}, heard: map[string]time.Time{}, supply: supply{shortSince: time.Now()}}
 		}
 		if known && old.Era < move.Era {
 			m.replaced[move.Service] = old
@@ -166,7 +174,7 @@
 		toNew = true
 	default:
 		p.raiseShare()
-		toNew = hashToShare(request) < p.share
+		toNew = hashToShare(request) < min(p.share, p.supply.maxShare())
 	}
 	return func(version string) bool { return (version == target) == toNew }
 }
@@ -192,7 +200,7 @@
 func (p *progress) raiseShare() {
 	elapsed := p.elapsed()
 	total := p.sumEvidence()
-	p.trusted = p.trusted || total.trusted(elapsed)
+	p.trusted = p.trusted || total.trusted(elapsed) || p.untried(total)
 	if !p.trusted {
 		p.share = p.trialShare(total)
 		return
@@ -244,12 +252,17 @@
 		return false
 	case t.New.Attempts-t.Overdue >= trustedResults:
 		return true
-	case t.Begun == 0:
-		return elapsed >= trialEnd
 	}
 	return elapsed >= thinEvidence && t.Overdue == 0 && t.New.Attempts > 0
 }
 
+// untried reports whether no request came for the new version for as long as a trial takes,
+// although it had servers.
+func (p *progress) untried(t Total) bool {
+	since := p.supply.newSince
+	return t.Begun == 0 && !since.IsZero() && time.Since(since) >= time.Duration(trialEnd*float64(p.Duration))
+}
+
 // sumEvidence returns the evidence summed over all instances.
 func (p *progress) sumEvidence() Total {
 	return p.withPending().plus(p.peerSum)
@@ -378,7 +391,7 @@
 		return false
 	}
 	p.peerSum = p.peerSum.minus(p.peers[peer]).plus(t)
-	p.peers[peer] = t
+	p.peers[peer], p.heard[peer] = t, time.Now()
 	if t.Bad != "" {
 		p.badReason, p.own.Bad = t.Bad, t.Bad
 		return true
@@ -404,7 +417,7 @@
 // has changed since it was last returned, and now and then what has not, as it may be lost or
 // an instance may be new. others is the number of other instances.
 func (m *Moves) ChangedEvidence(others int) map[string]Total {
-	repeat := max(minRepeatInterval, time.Duration(others)*fleetRepeatInterval)
+	repeat := repeatInterval(others)
 	changed := m.OwnEvidence()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -419,6 +432,12 @@
 	return changed
 }
 
+// repeatInterval returns the interval at which unchanged evidence is sent to a number of other
+// instances.
+func repeatInterval(others int) time.Duration {
+	return max(minRepeatInterval, time.Duration(others)*fleetRepeatInterval)
+}
+
 // Step is a state transition to be written to the store.
 type Step struct {
 	Move
@@ -438,20 +457,32 @@
 			}
 			continue
 		}
-		p.raiseShare()
-		elapsed := p.elapsed()
-		switch {
-		case p.badReason != "" || p.evaluate():
-			steps = append(steps, Step{Move: p.Move, Next: StateTakenBack, Reason: p.badReason})
-		case elapsed >= 1 && !p.trusted:
-			steps = append(steps, Step{Move: p.Move, Next: StateTakenBack, Reason: "at the deadline too few results speak for it"})
-		case elapsed >= 1 && p.share < 1:
-			steps = append(steps, Step{Move: p.Move, Next: StateTakenBack, Reason: "at the deadline its failures still speak against it"})
-		case elapsed >= minCompletion && p.share >= 1:
-			steps = append(steps, Step{Move: p.Move, Next: StateCompleted, Reason: "the new version held all requests"})
-		case p.recorded == StateNew:
-			steps = append(steps, Step{Move: p.Move, Next: StateRunning, Reason: "the canary begins"})
+		if next, reason := p.nextState(); next != p.recorded {
+			steps = append(steps, Step{Move: p.Move, Next: next, Reason: reason})
 		}
 	}
 	return steps
 }
+
+// nextState returns the state that the store should have, and why. A move completes only while
+// the new version can take all requests, and one whose version isn't bad is taken back only
+// while there are old servers: with either step servers stop for good.
+func (p *progress) nextState() (next State, reason string) {
+	p.raiseShare()
+	p.updateShortage()
+	elapsed := p.elapsed()
+	switch {
+	case p.badReason != "" || p.evaluate():
+		return StateTakenBack, p.badReason
+	case elapsed >= minCompletion && p.share >= 1 && p.canComplete():
+		return StateCompleted, "the new version held all requests"
+	case elapsed < 1 || !p.canTakeBack():
+	case !p.trusted:
+		return StateTakenBack, "at the deadline too few results speak for it"
+	case p.share < 1:
+		return StateTakenBack, "at the deadline its failures still speak against it"
+	case p.shortFor() >= shortageTimeout:
+		return StateTakenBack, "at the deadline its servers can't take all requests"
+	}
+	return StateRunning, "the canary begins"
+}
--- a/internal/rwversion/moves_test.go
+++ b/internal/rwversion/moves_test.go
@@ -24,6 +24,12 @@
 	return rwversion.Move{Name: "orders", Service: "orders", Target: "v2", Duration: moveDuration, State: state, Revision: 1}
 }
 
+// ampleCapacity is that of as many new servers as old ones.
+func ampleCapacity() rwversion.Capacity {
+	servers := rwversion.Room{Servers: 12, Requests: 144}
+	return rwversion.Capacity{New: servers, Old: servers, Load: rwversion.Room{Requests: 47}}
+}
+
 // outcome is the result of a simulated move.
 type outcome struct {
 	state         rwversion.State // the final state; StateNew if the move did not end
@@ -57,6 +63,7 @@
 	moves := make([]rwversion.Moves, instances)
 	for i := range moves {
 		moves[i].Put(newMove(rwversion.StateNew))
+		moves[i].SetCapacity("orders", ampleCapacity())
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	var out outcome
@@ -176,6 +183,7 @@
 	moves := make([]rwversion.Moves, instances)
 	for i := range moves {
 		moves[i].Put(move)
+		moves[i].SetCapacity("orders", ampleCapacity())
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	var out streamOutcome
