A stopping instance refuses streams that can't end within the grace period

Cause: fitGracePeriod left streams out, and was asked before the body had come.

Fix: before its first attempt a stream must be expected to end within what is left of the grace period; otherwise it is refused as not run, at once.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -44,13 +44,14 @@
 	statements    map[process]*statements    // of the processes that have said something of themselves
 	prefillRate   float64                    // average, in prompt tokens per second
 	tokenInterval float64                    // average, in seconds
+	eventTokens   float64                    // average
 }
 
 // NewDirectory returns an empty directory for the instance with the given name.
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(),
+		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
 	}
 }
 
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -323,6 +323,23 @@
 	d.tokenInterval += averageSampleWeight / 2 * (took.Seconds()/float64(tokens) - d.tokenInterval)
 }
 
+// RecordEvents updates the average number of tokens in an event of a stream.
+func (d *Directory) RecordEvents(tokens, events int) {
+	if tokens <= 0 || events <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.eventTokens += averageSampleWeight / 2 * (float64(tokens)/float64(events) - d.eventTokens)
+}
+
+// EventTokens returns the average number of tokens in an event of a stream.
+func (d *Directory) EventTokens() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.eventTokens
+}
+
 // TokenTime returns the average time between two tokens of a stream.
 func (d *Directory) TokenTime() time.Duration {
 	d.mu.Lock()
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -109,6 +109,7 @@
 	startedAt           time.Time
 	deadline            time.Time       // by which the caller gets a final response
 	routeTimeoutApplies bool            // the deadline comes from the route's timeout, not from the caller
+	graceApplies        bool            // the deadline is the end of the grace period
 	attempts            int             // servers that the request was sent to
 	tried               map[string]bool // ids of the servers that were chosen
 	relayed             bool            // the current attempt goes through another instance
@@ -141,6 +142,9 @@
 	if err == nil {
 		err = c.readBody()
 	}
+	if err == nil {
+		err = c.fitRestOfGracePeriod()
+	}
 	if err == nil {
 		f.Counters.countRequest(c.route.Kind)
 		c.fingerprint = c.computeFingerprint()
@@ -214,23 +218,6 @@
 	return nil
 }
 
-// fitGracePeriod limits the request to what is left of the grace period of a shutdown. It
-// refuses a request that runs at most once and may take longer: its outcome would be unknown.
-func (c *call) fitGracePeriod() error {
-	if c.f.GraceLeft == nil || c.route.Kind == rwroute.KindStream {
-		return nil
-	}
-	left, ending := c.f.GraceLeft()
-	if !ending || c.remaining() <= left {
-		return nil
-	}
-	if c.route.Kind == rwroute.KindOnce {
-		return rwerror.New(rwerror.KindUnavailable, "retry at another instance", "this instance is stopping in %s, before the request may have ended", max(0, left).Round(time.Millisecond)).WithRetryAfter(shortRetryAfter)
-	}
-	c.deadline, c.routeTimeoutApplies = time.Now().Add(left), true
-	return nil
-}
-
 // awaitInitialState waits up to startupWait for the settings and the server list.
 // On an instance that has just started this is faster than a retry by the caller.
 func (c *call) awaitInitialState() bool {
@@ -268,9 +255,13 @@
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return nil
 	}
-	if err := http.NewResponseController(c.w).SetReadDeadline(c.deadline); err != nil {
+	connection := http.NewResponseController(c.w)
+	if err := connection.SetReadDeadline(c.deadline); err != nil {
 		return errors.Trace(err)
 	}
+	if c.f.Ending != nil {
+		defer context.AfterFunc(c.f.Ending, func() { _ = connection.SetReadDeadline(time.Now()) })()
+	}
 	var reader io.Reader = c.r.Body
 	if maxBytes > 0 {
 		reader = io.LimitReader(reader, maxBytes+1)
@@ -282,13 +273,16 @@
 	} else {
 		c.body, err = io.ReadAll(reader)
 	}
+	if err != nil && c.f.Ending != nil && c.f.Ending.Err() != nil {
+		return stoppingError(0)
+	}
 	if err != nil {
 		return rwerror.New(rwerror.KindTimeout, "send the whole body", "the request body was not received in full: %v", err).WithRan(rwerror.RanNo)
 	}
 	if maxBytes > 0 && int64(len(c.body)) > maxBytes {
 		return bodyTooLargeError(maxBytes)
 	}
-	return errors.Trace(http.NewResponseController(c.w).SetReadDeadline(time.Time{}))
+	return errors.Trace(connection.SetReadDeadline(time.Time{}))
 }
 
 func bodyTooLargeError(maxBytes int64) error {
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -11,7 +11,6 @@
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwlog"
-	"ragwortwall/internal/rwpick"
 	"ragwortwall/internal/rwrelay"
 	"ragwortwall/internal/rwroute"
 
@@ -78,8 +77,7 @@
 func (s *stream) relay(conn *rwlink.Conn, target attemptTarget, info UpstreamInfo) (bool, error) {
 	sentAt := time.Now()
 	s.progress = responseProgress{}
-	expected := rwpick.TimeToFirstEvent(target.server, rwpick.Need{Prefill: target.prefillTokens}, s.f.Directory.PrefillRate())
-	stalls := rwrelay.NewStallDetector(expected, s.route.MaxEventGap)
+	stalls := rwrelay.NewStallDetector(s.timeToFirstEvent(target), s.route.MaxEventGap)
 	response, _, err := conn.Exchange(s.upstreamRequest(info), s.silencePolicy(stalls, target.server.ID, target.server.Address), s.ownsResponse)
 	if err != nil {
 		return false, s.recordInterruption(target, err)
@@ -311,6 +309,7 @@
 	}
 	if s.eventsSent > 0 && s.attempts == 1 && !s.info.Resumed && s.info.MaxOutput > 0 {
 		s.f.Directory.RecordTokenTime(s.info.MaxOutput, time.Since(s.firstEventAt))
+		s.f.Directory.RecordEvents(s.info.MaxOutput, s.eventsSent)
 	}
 	s.f.Counters.recordLongestPause(s.longestPause)
 	s.f.Counters.countAnswered(rwroute.KindStream, http.StatusOK, time.Since(s.startedAt))
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -174,10 +174,13 @@
 			return attemptTarget{}, s.attemptsExhaustedError()
 		}
 	}
+	first := s.timeToFirstEvent(target)
+	if err := s.fitStream(first); err != nil {
+		return attemptTarget{}, err
+	}
 	if target.prefillTokens == 0 || s.headerSent {
 		return target, nil
 	}
-	first := rwpick.TimeToFirstEvent(target.server, rwpick.Need{Prefill: target.prefillTokens}, s.f.Directory.PrefillRate())
 	output := s.info.MaxOutput
 	if s.info.Resumed {
 		output = 0 // the remaining length is unknown
