Bodies of requests share a bound, and readers of others' bytes have one

Reported by operators of a system like ours: endless bytes filled the memory of a machine, and all its requests ended.

Cause: no bound for all bodies together, none for a line of a watch or for what listens at another instance's address.

Fix: bodies beyond 16 kB reserve their length of 16 MB, or are refused as not run.

--- a/cmd/rwentry/main_test.go
+++ b/cmd/rwentry/main_test.go
@@ -23,28 +23,52 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// testInstance is an instance that runs as a process of its own.
+type testInstance struct{ standin.Instance }
+
+// newInstance returns an instance of a store.
+func newInstance(t *testing.T, store *standin.Store) testInstance {
+	t.Helper()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return testInstance{standin.Instance{
+		Name: "entry-0", Zone: "a", StoreAddress: strings.TrimPrefix(server.URL, "http://"),
+		CallerAddress: rwloopback.Address(), ReadyAddress: rwloopback.Address(), ControlAddress: rwloopback.Address(), NoticeAddress: rwloopback.Address(),
+	}}
+}
+
+// command builds the program and returns the command that runs the instance.
+func (i testInstance) command(t *testing.T) *exec.Cmd {
+	t.Helper()
+	folder := t.TempDir()
+	program, file := filepath.Join(folder, "rwentry"), filepath.Join(folder, "settings.json")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	require.NoError(t, os.WriteFile(file, i.SettingsFile(), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+file)
+	return cmd
+}
+
+func (i testInstance) ready() bool {
+	response, err := http.Get("http://" + i.ReadyAddress + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // TestLogReaderGone checks that an instance keeps serving, and stops on SIGTERM, after
 // the reader of its standard output has gone: SIGPIPE from the next log line would
 // otherwise end the process.
 func TestLogReaderGone(t *testing.T) {
-	folder := t.TempDir()
-	program := filepath.Join(folder, "rwentry")
-	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	require.NoError(t, err, string(out))
 	store := &standin.Store{}
 	store.Configure(standin.Configuration{Version: 1, Keys: []string{standin.Key}})
-	server := httptest.NewServer(store)
-	defer server.Close()
-	i := standin.Instance{
-		Name: "entry-0", Zone: "a", StoreAddress: strings.TrimPrefix(server.URL, "http://"),
-		CallerAddress: rwloopback.Address(), ReadyAddress: rwloopback.Address(), ControlAddress: rwloopback.Address(), NoticeAddress: rwloopback.Address(),
-	}
-	file := filepath.Join(folder, "settings.json")
-	require.NoError(t, os.WriteFile(file, i.SettingsFile(), 0o600))
+	i := newInstance(t, store)
+	cmd := i.command(t)
 	r, w, err := os.Pipe()
 	require.NoError(t, err)
-	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+file)
 	cmd.Stdout = w
 	require.NoError(t, cmd.Start())
 	require.NoError(t, w.Close())
@@ -52,20 +76,12 @@
 	exited := make(chan error, 1)
 	go func() { exited <- cmd.Wait() }()
 	defer func() { _ = cmd.Process.Kill() }()
-	ready := func() bool {
-		response, err := http.Get("http://" + i.ReadyAddress + platform.ReadyPath)
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}
-	require.Eventually(t, ready, waitTimeout, pollInterval)
+	require.Eventually(t, i.ready, waitTimeout, pollInterval)
 	calls := store.Calls()
 	store.SetDown(true) // makes the instance write log lines
 	require.Eventually(t, func() bool { return store.Calls() > calls+2 }, waitTimeout, pollInterval)
 	store.SetDown(false)
-	require.Eventually(t, ready, waitTimeout, pollInterval)
+	require.Eventually(t, i.ready, waitTimeout, pollInterval)
 	require.Empty(t, exited)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	select {
--- a/internal/rwcommand/client.go
+++ b/internal/rwcommand/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlink"
 
 	"github.com/juju/errors"
 )
@@ -27,6 +28,7 @@
 	operatorTimeout = 10 * time.Second // for one call of the operators' interface
 	inForceTimeout  = 30 * time.Second // for a change to be in force at every instance
 	pollInterval    = 100 * time.Millisecond
+	maxAnswerBytes  = 64 << 20 // the whole settings tree
 )
 
 // callAPI sends body as JSON to the operators' interface and decodes the response
@@ -48,7 +50,7 @@
 		return rwerror.New(rwerror.KindUnavailable, "check --url, or specify another instance", "%v", err)
 	}
 	defer response.Body.Close()
-	content, err = io.ReadAll(response.Body)
+	content, err = rwlink.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"strings"
@@ -89,6 +88,7 @@
 	Counters         *Counters
 
 	bufferedBytes atomic.Int64 // of the responses that are held in memory
+	bodyBytes     atomic.Int64 // of the bodies of requests that are held in memory
 
 	partLossMu sync.Mutex
 	partLosses map[*pendingPartLoss]struct{} // counted and not judged yet
@@ -117,6 +117,7 @@
 	slow                *slowAttempt    // goes on beside the later attempts; nil for none
 	versionAttempt      *rwversion.Attempt
 	bufferedBytes       int64            // that this call has added to those of the Forwarder
+	bodyBytes           int64            // the same
 	progress            responseProgress // of the current attempt
 	parts               []sharedPart     // what it may have in common with requests that crash servers
 	partKeys            []rwpart.Key     // of parts
@@ -133,7 +134,10 @@
 	if len(r.TransferEncoding) > 0 || f.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { f.bufferedBytes.Add(-c.bufferedBytes) }()
+	defer func() {
+		f.bufferedBytes.Add(-c.bufferedBytes)
+		f.bodyBytes.Add(-c.bodyBytes)
+	}()
 	defer c.logPanic()
 	err := c.resolveRoute()
 	if err == nil {
@@ -245,50 +249,6 @@
 	return c.r.URL.RequestURI()
 }
 
-// readBody reads the whole body into memory, so that it can be sent again and with a
-// Content-Length.
-func (c *call) readBody() error {
-	maxBytes := int64(c.state.Table.Limits.Body)
-	if maxBytes > 0 && c.r.ContentLength > maxBytes {
-		return bodyTooLargeError(maxBytes)
-	}
-	if c.r.Body == nil || c.r.Body == http.NoBody {
-		return nil
-	}
-	connection := http.NewResponseController(c.w)
-	if err := connection.SetReadDeadline(c.deadline); err != nil {
-		return errors.Trace(err)
-	}
-	if c.f.Ending != nil {
-		defer context.AfterFunc(c.f.Ending, func() { _ = connection.SetReadDeadline(time.Now()) })()
-	}
-	var reader io.Reader = c.r.Body
-	if maxBytes > 0 {
-		reader = io.LimitReader(reader, maxBytes+1)
-	}
-	var err error
-	if n := c.r.ContentLength; n > 0 {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(reader, c.body)
-	} else {
-		c.body, err = io.ReadAll(reader)
-	}
-	if err != nil && c.f.Ending != nil && c.f.Ending.Err() != nil {
-		return stoppingError(0)
-	}
-	if err != nil {
-		return rwerror.New(rwerror.KindTimeout, "send the whole body", "the request body was not received in full: %v", err).WithRan(rwerror.RanNo)
-	}
-	if maxBytes > 0 && int64(len(c.body)) > maxBytes {
-		return bodyTooLargeError(maxBytes)
-	}
-	return errors.Trace(connection.SetReadDeadline(time.Time{}))
-}
-
-func bodyTooLargeError(maxBytes int64) error {
-	return rwerror.New(rwerror.KindTooLarge, "send a smaller body", "the request body exceeds %d bytes", maxBytes)
-}
-
 // remaining returns the time until the deadline.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
--- /dev/null
+++ b/internal/rwforward/memory.go
@@ -0,0 +1,153 @@
+package rwforward
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"time"
+
+	"ragwortwall/internal/rwerror"
+	"ragwortwall/internal/rwlink"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// maxResponseBytes limits a response that is held in memory. It is several times the
+	// largest response of a plain service.
+	maxResponseBytes = 8 << 20
+	// maxBufferedBytes limits the responses that an instance holds in memory together, and the
+	// bodies of requests. It is a small part of the memory of the smallest machines.
+	maxBufferedBytes = 16 << 20
+	// smallBodyBytes is the length up to which a body is read although others have used up
+	// maxBufferedBytes, so that senders of long bodies don't keep the usual requests away.
+	smallBodyBytes = 16 << 10
+	// dropTimeout is how long the rest of a refused body is read.
+	dropTimeout = 500 * time.Millisecond
+)
+
+var (
+	errBuffersFull   = rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After", "this instance holds too many responses in memory")
+	errTooManyBodies = rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After", "this instance holds too many bodies of requests in memory").WithRetryAfter(longRetryAfter)
+)
+
+// readWhole reads the whole body of a response into memory. The memory is released when
+// the request ends.
+func (c *call) readWhole(r io.Reader) ([]byte, error) {
+	return rwlink.ReadAll(bufferedReader{r, c}, maxResponseBytes)
+}
+
+// bufferedReader charges what it reads to the memory for responses.
+type bufferedReader struct {
+	io.Reader
+	call *call
+}
+
+// Read reads and fails if too much memory is in use.
+func (b bufferedReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.call.bufferedBytes += int64(n)
+	if b.call.f.bufferedBytes.Add(int64(n)) > maxBufferedBytes {
+		return n, errBuffersFull
+	}
+	return n, err
+}
+
+// bodyReader charges the body of a request to the memory for these. Once it has read more than
+// smallBodyBytes it reserves the whole length, or twice what has come if that is unknown, so that
+// bodies which are read at the same time don't all fail half-way.
+type bodyReader struct {
+	call *call
+	read int64
+}
+
+// Read reads and fails if the memory can't be reserved.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.call.r.Body.Read(p)
+	b.read += int64(n)
+	if b.read <= smallBodyBytes {
+		b.call.bodyBytes += int64(n)
+		b.call.f.bodyBytes.Add(int64(n))
+		return n, err
+	}
+	if b.read <= b.call.bodyBytes {
+		return n, err
+	}
+	length := max(b.read, b.call.r.ContentLength)
+	if b.call.r.ContentLength < 0 {
+		length = 2 * b.read
+	}
+	if !b.call.reserveBody(length) {
+		return n, errTooManyBodies
+	}
+	return n, err
+}
+
+// reserveBody raises the memory that the body is charged for to a length. It reports false, and
+// changes nothing, if the bodies would hold more than maxBufferedBytes together.
+func (c *call) reserveBody(length int64) bool {
+	more := length - c.bodyBytes
+	for {
+		held := c.f.bodyBytes.Load()
+		if held+more > maxBufferedBytes {
+			return false
+		}
+		if c.f.bodyBytes.CompareAndSwap(held, held+more) {
+			c.bodyBytes = length
+			return true
+		}
+	}
+}
+
+// readBody reads the whole body into memory, so that it can be sent again and with a
+// Content-Length. Memory is allocated for what has arrived, whatever length is claimed.
+func (c *call) readBody() error {
+	limit := c.state.Table.Limits.Body
+	if limit <= 0 {
+		limit = math.MaxInt
+	}
+	if c.r.ContentLength > int64(limit) {
+		return bodyTooLargeError(limit)
+	}
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	connection := http.NewResponseController(c.w)
+	if err := connection.SetReadDeadline(c.deadline); err != nil {
+		return errors.Trace(err)
+	}
+	if c.f.Ending != nil {
+		defer context.AfterFunc(c.f.Ending, func() { _ = connection.SetReadDeadline(time.Now()) })()
+	}
+	var err error
+	c.body, err = rwlink.ReadAll(&bodyReader{call: c}, limit)
+	switch {
+	case errors.Is(err, rwlink.ErrBodyTooLong):
+		return bodyTooLargeError(limit)
+	case errors.Is(err, errTooManyBodies):
+		c.body = nil
+		return c.refuseBody(connection)
+	case err != nil && c.f.Ending != nil && c.f.Ending.Err() != nil:
+		return stoppingError(0)
+	case err != nil:
+		return rwerror.New(rwerror.KindTimeout, "send the whole body", "the request body was not received in full: %v", err).WithRan(rwerror.RanNo)
+	}
+	return errors.Trace(connection.SetReadDeadline(time.Time{}))
+}
+
+// refuseBody drops the rest of the body, for a short time, and returns the error for the caller:
+// one that is still sending when the connection is closed may not get the response.
+func (c *call) refuseBody(connection *http.ResponseController) error {
+	if err := connection.SetReadDeadline(time.Now().Add(dropTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	c.f.bodyBytes.Add(-c.bodyBytes)
+	c.bodyBytes = 0
+	_, _ = io.Copy(io.Discard, c.r.Body) // bounded by the deadline
+	return errTooManyBodies
+}
+
+func bodyTooLargeError(limit int) error {
+	return rwerror.New(rwerror.KindTooLarge, "send a smaller body", "the request body exceeds %d bytes", limit)
+}
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,38 +17,6 @@
 	"github.com/juju/errors"
 )
 
-// maxResponseBytes limits a response that is held in memory. It is several times the
-// largest response of a plain service.
-const maxResponseBytes = 8 << 20
-
-// maxBufferedBytes limits the responses that an instance holds in memory together. It is
-// a small part of the memory of the smallest machines.
-const maxBufferedBytes = 16 << 20
-
-var errBuffersFull = rwerror.New(rwerror.KindOverloaded, "retry after the time in Retry-After", "this instance holds too many responses in memory")
-
-// readWhole reads the whole body of a response into memory. The memory is released when
-// the request ends.
-func (c *call) readWhole(r io.Reader) ([]byte, error) {
-	return rwlink.ReadAll(bufferedReader{r, c}, maxResponseBytes)
-}
-
-// bufferedReader charges what it reads to the memory for responses.
-type bufferedReader struct {
-	io.Reader
-	call *call
-}
-
-// Read reads and fails if too much memory is in use.
-func (b bufferedReader) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.call.bufferedBytes += int64(n)
-	if b.call.f.bufferedBytes.Add(int64(n)) > maxBufferedBytes {
-		return n, errBuffersFull
-	}
-	return n, err
-}
-
 // serverResponse is the whole response of a backend server.
 type serverResponse struct {
 	server string // id
--- a/internal/rwpath/relay.go
+++ b/internal/rwpath/relay.go
@@ -42,6 +42,9 @@
 	// descriptors of the smallest machines.
 	maxRelayedConns  = 256
 	relayBufferBytes = 4 << 10
+	// maxAnswerBytes limits the head of an answer to a question: what listens at the address may
+	// no longer be an instance.
+	maxAnswerBytes = 64 << 10
 	// relayHeaderTimeout limits the head of a question to a relay.
 	relayHeaderTimeout = 2 * time.Second
 )
@@ -158,7 +161,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	request := &http.Request{Method: http.MethodConnect, Host: address, URL: &url.URL{Path: relayPath + server}}
-	reader := bufio.NewReader(raw)
+	reader := bufio.NewReader(io.LimitReader(raw, maxAnswerBytes))
 	status, header, err := exchange(raw, reader, request)
 	if err == nil && !stop() {
 		err = ctx.Err()
--- a/internal/rwplatform/client.go
+++ b/internal/rwplatform/client.go
@@ -22,6 +22,7 @@
 const (
 	basePath              = "/apis/ragwortwall/v1/"
 	maxResponseBytes      = 64 << 20
+	maxEventBytes         = 8 << 20 // an object has about a megabyte at most
 	unavailableRetryAfter = 2 * time.Second
 	// maxNesting is how deeply a response may be nested. What is deeper is left out, so that
 	// one object does not hide the others.
@@ -156,6 +157,18 @@
 	return unavailableError(method, errors.Errorf("status %d: %s", status, text))
 }
 
+// scanWholeLines is a bufio.SplitFunc for lines that end with a newline. Anything but white space
+// after the last one is an error.
+func scanWholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if n := bytes.IndexByte(data, '\n'); n >= 0 {
+		return n + 1, data[:n+1], nil
+	}
+	if atEOF && len(bytes.TrimSpace(data)) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
+}
+
 // Watch calls visit with each change to the objects of a kind after a revision. It
 // returns nil when the platform ends the watch after about period, and an error when ctx
 // ends, the stream breaks or visit returns one, and ErrCompacted when the platform no
@@ -170,17 +183,18 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return statusError(http.MethodGet, path, response.StatusCode, nil)
 	}
-	lines := bufio.NewReader(response.Body)
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, maxEventBytes)
+	lines.Split(scanWholeLines)
 	for {
-		var event rwobject.Event
-		line, err := lines.ReadBytes('\n')
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(line)) == 0 {
+		if !lines.Scan() {
+			if err := lines.Err(); err != nil {
+				return unavailableError(http.MethodGet, err)
+			}
 			return nil
 		}
-		if err == nil {
-			err = json.Unmarshal(rwjson.Prune(line, maxNesting), &event)
-		}
-		if err != nil {
+		var event rwobject.Event
+		if err := json.Unmarshal(rwjson.Prune(lines.Bytes(), maxNesting), &event); err != nil {
 			return unavailableError(http.MethodGet, err)
 		}
 		if event.Type == "ERROR" {
