--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -93,6 +93,7 @@
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
+	drained   atomic.Bool // the load balancer has noticed that the instance is shutting down
 	relay     *rwpath.Relay
 	graceEnd  atomic.Pointer[time.Time] // when requests are ended; nil while the instance is not shutting down
 	callers   rwconn.Conns
@@ -122,7 +123,7 @@
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
-		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Ending: ending, Log: i.Log, Counters: &i.counters,
+		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -340,6 +341,7 @@
 	i.leaving.Store(true)
 	i.Log.Info("stopping", "instance", i.Settings.Name)
 	time.Sleep(min(drainDelay, gracePeriod/2))
+	i.drained.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), gracePeriod-time.Since(start))
 	defer cancel()
 	_ = callerListener.Close()
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -83,6 +83,7 @@
 	Limits           *rwlimit.Limiter
 	ShuttingDown     func() bool                  // reports whether this instance is shutting down
 	GraceLeft        func() (time.Duration, bool) // returns the time until requests are ended, while this instance is shutting down; nil for never
+	Drained          func() bool                  // reports whether a shutdown has lasted so long that the load balancer sends no more callers here; nil for never
 	Ending           context.Context              // done when the grace period is over; nil for never
 	Log              logr.Logger
 	Counters         *Counters
--- a/internal/rwforward/grace.go
+++ b/internal/rwforward/grace.go
@@ -8,9 +8,14 @@
 	"ragwortwall/internal/rwroute"
 )
 
-// A request that is accepted during a shutdown must end within the grace period: otherwise its
-// caller loses the answer, or its outcome. One that may not is refused at once, as it has not
-// run and another instance can serve it.
+// A request that is accepted during a shutdown should end within the grace period: otherwise its
+// caller loses the answer, or its outcome. One that runs at most once is refused at once if it
+// may not, as it has not run and another instance can serve it.
+//
+// A stream is refused only after the load balancer has noticed the shutdown. Until then callers
+// come here by no choice of theirs and have few attempts: one that is cut late and goes on elsewhere
+// from its copy has more of its answer than one that is refused and may meet another instance
+// that stops.
 
 // graceMargin is the factor of the estimated time of a stream that must be left of the grace
 // period. The estimate is an average.
@@ -57,11 +62,11 @@
 	return nil
 }
 
-// fitStream refuses a stream before its first attempt if it may not end within the grace
-// period. first is the time until its first event.
+// fitStream refuses a stream before its first attempt if the load balancer has noticed the
+// shutdown, and the stream may not end within the grace period. first is the time until its first event.
 func (s *stream) fitStream(first time.Duration) error {
 	left, stopping := s.graceLeft()
-	if !stopping || s.attempts > 0 {
+	if !stopping || s.attempts > 0 || s.f.Drained == nil || !s.f.Drained() {
 		return nil
 	}
 	output := float64(s.info.MaxOutput)
