--- a/internal/rwstandin/platform.go
+++ b/internal/rwstandin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -396,5 +397,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
+	// net/http watches for the end of the connection only once the body has been read to its end.
+	_, _ = io.Copy(io.Discard, r.Body)
 	return true
 }
