--- a/internal/rwfeed/feed_test.go
+++ b/internal/rwfeed/feed_test.go
@@ -155,9 +155,10 @@
 func TestServersListedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := rwbackend.NewDirectory("self")
-		var recoveredAt time.Time
+		var recoveredAt atomic.Value // time.Time
+		recoveredAt.Store(time.Time{})
 		s := &rwfeed.ServerList{
-			Directory: d, StoreRecoveredAt: func() time.Time { return recoveredAt }, Log: logr.Discard(),
+			Directory: d, StoreRecoveredAt: func() time.Time { return recoveredAt.Load().(time.Time) }, Log: logr.Discard(),
 			Age: func() (time.Duration, bool) { return 0, true },
 			Decode: func(name string, _ json.RawMessage) (rwbackend.Entry, error) {
 				return rwbackend.Entry{ID: name, Service: "m", Address: name, Incarnation: 1}, nil
@@ -171,7 +172,7 @@
 		s.Apply(rwfeed.Batch{Changes: []rwfeed.Change{change("a", 1), change("b", 1), change("c", 1)}})
 		s.Apply(deletion("a"))
 		require.ElementsMatch(t, []string{"b", "c"}, d.IDs())
-		recoveredAt = time.Now()
+		recoveredAt.Store(time.Now())
 		s.Apply(deletion("b"))
 		s.Apply(deletion("c"))
 		require.Len(t, d.IDs(), 2, "servers must be kept: their entries may have expired because of the outage")
