--- a/cmd/rwentry/endless_test.go
+++ b/cmd/rwentry/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -102,6 +103,28 @@
 	<-ctx.Done()
 }
 
+// lockedBuffer keeps the output of a process.
+type lockedBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+// Write appends to the output.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(p)
+}
+
+// lastLines returns the end of the output.
+func (b *lockedBuffer) lastLines() string {
+	const maxBytes = 8 << 10
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	content := b.content.Bytes()
+	return string(content[max(0, len(content)-maxBytes):])
+}
+
 // TestEndlessBytesTogether guards against an instance that runs out of memory, which ends the
 // requests of all its callers: dozens of servers send bytes without end, to many callers at
 // once, while others send long bodies slowly.
@@ -128,6 +151,13 @@
 	i := newInstance(t, store)
 	i.MemoryMB = smallestMemory
 	cmd := i.command(t)
+	var log lockedBuffer
+	cmd.Stdout = &log
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(log.lastLines())
+		}
+	})
 	require.NoError(t, cmd.Start())
 	exited := make(chan error, 1)
 	go func() { exited <- cmd.Wait() }()
@@ -160,11 +190,13 @@
 	t.Log("peak memory, MB:", peakMemory(t, cmd.Process.Pid))
 	require.Less(t, peakMemory(t, cmd.Process.Pid), smallestMemory)
 	c := standin.NewCaller(standin.Key, func() string { return i.CallerAddress })
+	statuses := map[int]int{}
 	served := func() bool {
 		r, err := c.Do(t.Context(), http.MethodGet, "/looks/x", nil)
+		statuses[r.Status]++
 		return err == nil && r.Status == http.StatusOK
 	}
-	require.Eventually(t, served, waitTimeout, pollInterval, "the sound server is not used")
+	require.Eventually(t, served, waitTimeout, pollInterval, "the sound server is not used; responses by status: %v", statuses)
 	_, err := c.Stream(t.Context(), "abc1")
 	require.NoError(t, err)
 }
