--- a/internal/rwentry/moves.go
+++ b/internal/rwentry/moves.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		m.tracker.Put(move)
-		m.instance.Log.Info("received the order of a version move", "name", move.Name, "service", move.Service, "target", move.Target, "length", move.Duration.Seconds(), "state", int(move.State), "revision", move.Revision)
+		m.instance.Log.Info("received the order of a version move", "name", move.Name, "service", move.Service, "target", move.Target, "length", move.Duration.Seconds(), "state", int(move.State), "revision", move.Revision, "created", move.Created)
 	}
 }
 
--- a/internal/rwfeed/cache.go
+++ b/internal/rwfeed/cache.go
@@ -17,6 +17,7 @@
 	Name     string          `json:"name"`
 	Era      int64           `json:"era,omitempty"` // in which the store last had the object
 	Revision int64           `json:"revision"`
+	Created  int64           `json:"created,omitempty"` // revision at which the object was created; zero if unknown
 	Spec     json.RawMessage `json:"spec,omitempty"`
 	Status   json.RawMessage `json:"status,omitempty"`
 	Deleted  bool            `json:"gone,omitempty"`
--- a/internal/rwversion/moves.go
+++ b/internal/rwversion/moves.go
@@ -30,6 +30,23 @@
 	State    State
 	Era      int64 // of the store that has the object at Revision
 	Revision int64 // of the stored object
+	Created  int64 // revision at which the object was created; zero if unknown
+}
+
+// Order identifies the order of a move. One that was deleted and written again is another order,
+// even if it says the same.
+type Order struct {
+	Era     int64 `json:"era,omitempty"`
+	Created int64 `json:"created"` // zero if unknown, as from a former build
+}
+
+// order returns the identity of the move's order.
+func (m Move) order() Order { return Order{Era: m.Era, Created: m.Created} }
+
+// differs reports whether the orders are known to be different ones. In a new era the store
+// may have written the same order again.
+func (o Order) differs(other Order) bool {
+	return o.Era == other.Era && o.Created != 0 && other.Created != 0 && o.Created != other.Created
 }
 
 // before reports whether m was read from the store before other.
@@ -80,6 +97,8 @@
 	// Short tells that the instance reaches old servers, but too few of the new version to take
 	// all requests.
 	Short bool `json:"short,omitempty"`
+
+	Order Order `json:"order,omitzero"` // that the evidence is about
 }
 
 // Moves holds the version moves of all services. It is safe for concurrent use; the zero
@@ -120,6 +139,9 @@
 		m.moves, m.replaced = map[string]*progress{}, map[string]*progress{}
 	}
 	p, known := m.moves[move.Service]
+	if known && p.order().differs(move.order()) && move.before(p.Move) {
+		return // read before the order was written again
+	}
 	if !known || !p.orderedBy(move) {
 		old := p
 		p = m.replaced[move.Service]
@@ -144,7 +166,7 @@
 
 // orderedBy reports whether an order is that of this move.
 func (p *progress) orderedBy(order Move) bool {
-	return p.Name == order.Name && p.Target == order.Target
+	return p.Name == order.Name && p.Target == order.Target && !p.order().differs(order.order())
 }
 
 // Remove deletes a move that is no longer in the store.
@@ -283,6 +305,7 @@
 // would never count.
 func (p *progress) withPending() Total {
 	t := p.own
+	t.Order = p.order()
 	late, ok := t.Old.Overdue()
 	if !ok {
 		for _, peer := range p.peers {
@@ -382,12 +405,12 @@
 
 // SetPeerEvidence replaces the evidence that another instance has sent about a service.
 // It reports whether the new version is found bad by this evidence. It returns false if
-// the move has ended or the version was found bad before.
+// the move has ended, the version was found bad before, or the evidence is about another order.
 func (m *Moves) SetPeerEvidence(peer, service string, t Total) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.moves[service]
-	if !ok || p.State >= StateCompleted || p.badReason != "" {
+	if !ok || p.State >= StateCompleted || p.badReason != "" || p.order().differs(t.Order) {
 		return false
 	}
 	p.peerSum = p.peerSum.minus(p.peers[peer]).plus(t)
--- a/internal/rwversion/moves_test.go
+++ b/internal/rwversion/moves_test.go
@@ -309,6 +309,56 @@
 	})
 }
 
+// TestOrderWrittenAgain guards against an order that starts as one that has ended, because the
+// instance missed that a former one with the same content was deleted.
+func TestOrderWrittenAgain(t *testing.T) {
+	for name, state := range map[string]rwversion.State{"completed": rwversion.StateCompleted, "taken back": rwversion.StateTakenBack} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var m rwversion.Moves
+				former, again := newMove(state), newMove(rwversion.StateNew)
+				former.Created, former.Revision = 10, 20
+				again.Created, again.Revision = 30, 30
+				m.Put(former)
+				require.Empty(t, m.Running())
+				m.Put(again)
+				m.Put(former) // read, or recorded by this instance, before the deletion
+				require.Equal(t, []rwversion.Move{again}, m.Running())
+				require.False(t, m.IsTakenBack("orders", "v2"))
+				for _, step := range m.Steps() {
+					require.Equal(t, rwversion.StateRunning, step.Next)
+				}
+			})
+		})
+	}
+}
+
+// TestEvidenceOfFormerOrder guards against a version that is taken back on the evidence of an
+// instance that doesn't know yet that its order was written again.
+func TestEvidenceOfFormerOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		order rwversion.Order
+		bad   bool
+	}{
+		"of a former order":              {rwversion.Order{Era: 2, Created: 10}, false},
+		"of this order":                  {rwversion.Order{Era: 2, Created: 30}, true},
+		"of an order in the former era":  {rwversion.Order{Era: 1, Created: 10}, true},
+		"of an instance of former build": {rwversion.Order{}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var m rwversion.Moves
+				move := newMove(rwversion.StateRunning)
+				move.Era, move.Created, move.Revision = 2, 30, 31
+				m.Put(move)
+				require.Equal(t, rwversion.Order{Era: 2, Created: 30}, m.OwnEvidence()["orders"].Order)
+				require.Equal(t, c.bad, m.SetPeerEvidence("other", "orders", rwversion.Total{Bad: "it fails", Order: c.order}))
+				require.Equal(t, c.bad, m.IsTakenBack("orders", "v2"))
+			})
+		})
+	}
+}
+
 // TestLoadChangesDuringMove guards against a good version that is taken back because all
 // requests take longer while more of them go to it, and against a slow one that completes
 // because all of them take less time then.
