A verdict against a version ends when its move is completed

What callers would have seen: an instance that finds a version bad while another one records that the move is completed refuses all requests of the service for good, as the old servers stop.

Cause: IsTakenBack and VersionFilter asked for the verdict before the state of the move.

Change: a verdict counts only while the move is not completed. The record of another instance that the move was taken back counts as before.

--- a/internal/rwversion/moves.go
+++ b/internal/rwversion/moves.go
@@ -202,8 +202,11 @@
 	}
 }
 
-// bad reports whether the new version was found bad, here or by another instance.
-func (p *progress) bad() bool { return p.badReason != "" || p.State == StateTakenBack }
+// bad reports whether the new version was found bad, here or by another instance. It doesn't
+// count any more once the move is completed, as the old servers have stopped then.
+func (p *progress) bad() bool {
+	return p.State == StateTakenBack || p.State != StateCompleted && p.badReason != ""
+}
 
 // VersionFilter returns a filter for the versions of a service that may run a request,
 // or nil if the service has no move. request is the id of the request.
--- a/internal/rwversion/moves_test.go
+++ b/internal/rwversion/moves_test.go
@@ -380,6 +380,23 @@
 	})
 }
 
+// TestBadVersionCompleted guards against an instance that refuses all requests, because it found
+// a version bad just before another one recorded that its move is completed.
+func TestBadVersionCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m rwversion.Moves
+		m.Put(newMove(rwversion.StateRunning))
+		require.True(t, m.SetPeerEvidence("other", "orders", rwversion.Total{Bad: "it fails"}))
+		require.True(t, m.IsTakenBack("orders", "v2"))
+		completed := newMove(rwversion.StateCompleted)
+		completed.Revision = 2
+		m.Put(completed)
+		require.False(t, m.IsTakenBack("orders", "v2"), "the old servers have stopped")
+		require.True(t, m.VersionFilter("orders", "1")("v2"))
+		require.Empty(t, m.Steps())
+	})
+}
+
 // TestEvidenceOfFormerOrder guards against a version that is taken back on the evidence of an
 // instance that doesn't know yet that its order was written again.
 func TestEvidenceOfFormerOrder(t *testing.T) {
