A sound request isn't quarantined because this instance left its servers

Callers saw: on a machine with a load of 25 and more all reads were refused for ten minutes, although a sound server was there: "5 backend servers were lost while they ran this request".

Cause: this instance had ended the exchanges itself, as the servers sent without end, there was no room for their responses, or the callers had left. 0.4 s later it was too busy to open a connection to the servers within 0.1 s, and each counted as ended under the read.

Change: after an exchange that this instance ended, an attempt to connect that times out is no sign; the server is judged again 2 s later by its process. A refused connection counts as before.

TestExchangeEndedHere fails without the check. In TestJudgeLoss the exchanges end with io.ErrUnexpectedEOF; its cases and checks are as before.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwrelay"
 	"ragwortwall/pkg/rwset"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 )
 
 const (
@@ -87,7 +92,7 @@
 		}
 	}
 	time.AfterFunc(crashCheckDelay, func() {
-		ended, reason := c.judgeLoss(server, at)
+		ended, reason := c.judgeLoss(server, at, cause)
 		if reason == lossAccepts {
 			// The process may be a new one that the store doesn't list yet.
 			time.AfterFunc(restartCheckDelay, func() {
@@ -115,14 +120,19 @@
 }
 
 // judgeLoss reports whether a server has ended since a time, and why the request did not
-// crash it; the reason is empty if it did, as far as can be told.
-func (c *call) judgeLoss(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
+// crash it; the reason is empty if it did, as far as can be told. cause is why the exchange with
+// the server ended.
+func (c *call) judgeLoss(server rwbackend.Entry, since time.Time, cause error) (ended bool, reason lossReason) {
 	if c.f.Directory.Fate(server, since) == rwbackend.FateUnknown {
 		switch c.f.Dialer.Check(context.Background(), server.Address, dialTimeout/2) {
 		case rwpath.ReachAccepts:
 			return false, lossAccepts
 		case rwpath.ReachUnknown:
 			return false, lossPath
+		case rwpath.ReachSilent:
+			if endedHere(cause) {
+				return false, lossAccepts
+			}
 		case rwpath.ReachUnreached:
 		}
 		return true, c.otherCause(server, since)
@@ -130,6 +140,22 @@
 	return c.judgeByDirectory(server, since)
 }
 
+// endedHere reports whether this instance ended an exchange: because of what the server sent, or
+// as the caller left. That is no sign that the server has ended, so it takes more than a connection
+// that isn't accepted in time, which an instance short of processor time sees as well.
+func endedHere(cause error) bool {
+	for _, other := range []error{
+		rwlink.ErrHeadTooLong, rwlink.ErrBodyTooLong, rwlink.ErrNoOwnResponse, http.ErrLineTooLong, rwrelay.ErrEventTooLong,
+		errBuffersFull, errInvalidResponse, errEventGap, errForeignEvent, errOtherMediaType,
+		rwlink.ErrAborted, net.ErrClosed, errCallerLeft,
+	} {
+		if errors.Is(cause, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // judgeAccepting is judgeLoss for a server whose address accepts connections. If the directory
 // doesn't know of a new process there, as the store may be away, a server that runs models is
 // asked whether it is one.
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -2,19 +2,28 @@
 
 import (
 	"cmp"
+	"context"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwloopback"
 	"ragwortwall/internal/rwpart"
+	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwrelay"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/pkg/rwset"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -110,7 +119,43 @@
 			call := &call{f: &Forwarder{Directory: d, Poison: poison, Parts: &rwpart.Registry{}}, fingerprint: 7, lost: rwset.New[string]()}
 			since := time.Now()
 			c.prepare(d, poison)
-			ended, reason := call.judgeLoss(with(server, func(e *rwbackend.Entry) { e.Address = cmp.Or(c.address, e.Address) }), since)
+			ended, reason := call.judgeLoss(with(server, func(e *rwbackend.Entry) { e.Address = cmp.Or(c.address, e.Address) }), since, io.ErrUnexpectedEOF)
+			require.Equal(t, c.ended, ended)
+			require.Equal(t, c.reason, reason)
+		})
+	}
+}
+
+// TestExchangeEndedHere guards against a sound request that is quarantined because of servers that
+// send without end, or callers that leave: an instance that is short of processor time ends these
+// exchanges, and then can't open a connection to the servers in time.
+func TestExchangeEndedHere(t *testing.T) {
+	refuses := func(context.Context, string, time.Duration) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	silent := func(context.Context, string, time.Duration) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }
+	for name, c := range map[string]struct {
+		dial   rwlink.DialFunc
+		cause  error
+		ended  bool
+		reason lossReason
+	}{
+		"head without end":              {silent, rwlink.ErrHeadTooLong, false, lossAccepts},
+		"body without end":              {silent, rwlink.ErrBodyTooLong, false, lossAccepts},
+		"responses to other requests":   {silent, rwlink.ErrNoOwnResponse, false, lossAccepts},
+		"trailer line without end":      {silent, http.ErrLineTooLong, false, lossAccepts},
+		"event without end":             {silent, rwrelay.ErrEventTooLong, false, lossAccepts},
+		"no room for the response":      {silent, errors.Trace(errBuffersFull), false, lossAccepts},
+		"the caller left":               {silent, rwlink.ErrAborted, false, lossAccepts},
+		"the caller left in a write":    {silent, &net.OpError{Op: "write", Err: net.ErrClosed}, false, lossAccepts},
+		"connection broken":             {silent, io.ErrUnexpectedEOF, true, ""},
+		"silent":                        {silent, errHung, true, ""},
+		"ended after what was too long": {refuses, rwlink.ErrHeadTooLong, true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := rwbackend.Entry{ID: "s1", Service: "model", Zone: "a", Address: rwloopback.Address(), Incarnation: 1}
+			d := rwbackend.NewDirectory("self")
+			d.Put(server)
+			call := &call{f: &Forwarder{Directory: d, Dialer: &rwpath.Dialer{Direct: c.dial}, Poison: &rwpoison.Registry{}}, lost: rwset.New[string]()}
+			ended, reason := call.judgeLoss(server, time.Now(), c.cause)
 			require.Equal(t, c.ended, ended)
 			require.Equal(t, c.reason, reason)
 		})
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -295,7 +295,7 @@
 		c.setMaxIdle(response)
 		return response, OutcomeUnknown, nil
 	}
-	return nil, OutcomeUnknown, errNoOwnResponse
+	return nil, OutcomeUnknown, ErrNoOwnResponse
 }
 
 // body is the body of a response. If it is closed before its end, it closes the
@@ -331,7 +331,8 @@
 	return b.ReadCloser.Close()
 }
 
-var errNoOwnResponse = rwerror.New(rwerror.KindFailed, "contact the operators", "the server sent only responses to other requests")
+// ErrNoOwnResponse is returned if the server keeps sending responses to other requests.
+var ErrNoOwnResponse = rwerror.New(rwerror.KindFailed, "contact the operators", "the server sent only responses to other requests")
 
 const (
 	// maxInlineBody is the largest body, in bytes, that is written before the
--- a/internal/rwpath/dialer.go
+++ b/internal/rwpath/dialer.go
@@ -195,24 +195,32 @@
 	ReachUnknown   Reach = iota // it is not reached from here, and nobody can tell whether it is the server
 	ReachAccepts                // from here or from another instance
 	ReachUnreached              // neither from here nor from others
+	ReachSilent                 // the attempt from here timed out: its machine is gone, or this process is short of time
 )
 
 // Check finds out whether a server accepts connections. timeout applies to the direct one.
 func (d *Dialer) Check(ctx context.Context, address string, timeout time.Duration) Reach {
-	if accepted, _ := rwlink.TryConnect(ctx, d.direct, address, timeout); accepted {
+	accepted, answered := rwlink.TryConnect(ctx, d.direct, address, timeout)
+	if accepted {
 		return ReachAccepts
 	}
+	unreached := ReachUnreached
+	if !answered {
+		unreached = ReachSilent
+	}
 	server, known := d.locate(address)
 	if !known {
-		return ReachUnreached
+		return unreached
 	}
 	c, err := d.dialRelayed(ctx, server)
 	switch {
 	case err == nil:
 		_ = c.Close()
 		return ReachAccepts
-	case errors.Is(err, ErrServerUnreached) || !d.InDoubt(server.Service) || len(d.Helpers()) == 0:
+	case errors.Is(err, ErrServerUnreached):
 		return ReachUnreached
+	case !d.InDoubt(server.Service) || len(d.Helpers()) == 0:
+		return unreached
 	}
 	return ReachUnknown
 }
