The first error in a head ends it: part of a head isn't taken for a whole one

Cause: the error by which the instance stops waiting for a silent server came within a line of the head. The parser drops an error if it has part of a line, took that part for the line, read on, and took the line's end, which came after all, for the end of the head. A log of the failure has "response begun 2.286s ago" at a server whose head never ends.

Change: each read of a head after the first error returns that error.

--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -35,6 +35,7 @@
 	aborted         atomic.Bool   // Abort was called
 	requestComplete bool          // a request was written completely and answered
 	headLeft        int           // bytes that the head being read may still have
+	headErr         error         // that ended the reading of the head; the parser of the head takes a line without its end for a whole one
 	readingHead     bool
 	graceReads      int // reads in a row that the SilenceFunc wanted to end
 	pending         pendingExchange
@@ -119,11 +120,15 @@
 	if !c.readingHead {
 		return c.read(p)
 	}
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
 	if c.headLeft <= 0 {
 		return 0, ErrHeadTooLong
 	}
 	n, err := c.read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	c.headErr = err
 	return n, err
 }
 
@@ -268,7 +273,7 @@
 func (c *Conn) readHead() (*http.Response, Outcome, error) {
 	owns := c.pending.owns
 	for range maxResponses {
-		c.readingHead, c.headLeft = true, maxHeadBytes
+		c.readingHead, c.headLeft, c.headErr = true, maxHeadBytes, nil
 		response, err := http.ReadResponse(c.reader, c.pending.request)
 		c.readingHead = false
 		if err != nil {
--- a/internal/rwlink/conn_test.go
+++ b/internal/rwlink/conn_test.go
@@ -136,6 +136,28 @@
 	})
 }
 
+// TestSilenceWithinHead guards against the head of a response that is taken for whole although the
+// SilenceFunc ended it within a line: the parser took what there was for the line, and the bytes
+// that came after it for the rest of the head.
+func TestSilenceWithinHead(t *testing.T) {
+	for _, begun := range []string{"HTTP/1.1 200 OK\r\nId: own", "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 1"} {
+		synctest.Test(t, func(t *testing.T) {
+			const pause = 100 * time.Millisecond
+			c, serverEnd := serve(t, pause, begun, "\r\n\r\nok")
+			defer serverEnd.Close()
+			silent, ended := errors.New("silent"), false
+			_, _, err := c.Exchange(Request{Method: "GET", Target: "/"}, func(time.Duration) (time.Duration, error) {
+				if c.pending.responded && !ended {
+					ended = true
+					return 0, silent
+				}
+				return time.Second, nil
+			}, nil)
+			require.ErrorIs(t, err, silent)
+		})
+	}
+}
+
 // TestAbort verifies that a pending read returns at once when the connection is
 // aborted.
 func TestAbort(t *testing.T) {
