A resumed stream is complete only once a server has sent its last event again

Cause: a server that resumes a stream and ends it without an event may have lost its position; a second one that did the same counted as a confirmation, and without another server the first one was enough. The answers are the same bytes, so that no number of them tells the cases apart.

Fix: after an end without an event the next server is asked for the last event again. One that has kept its position sends it, and its end counts.

Evidence: TestEndWithoutEvents failed before in three new cases (two servers lost their position; no server has it; the only one has lost it). Two of its former cases had stand-ins that ignore Last-Event-Id, which is what a server without its position does: they resume now, with the same expectations, and the case of the only server has one more with a stand-in that must be refused.

--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -53,7 +53,7 @@
 	s.beginVersionAttempt(target.server)
 	defer s.versionAttempt.Cancel()
 	info := s.upstreamInfo(target.server.ID)
-	info.Cursor, info.Resumed = s.sequence.Last()
+	info.Cursor, info.Resumed = s.resumeCursor()
 	info.KVSource, info.KVRun = target.kvSource, target.kvRun
 	if target.placement.Copied && s.service.Engine.Copies {
 		info.CopyTarget = target.placement.Copy.Address
@@ -115,7 +115,7 @@
 		stalls.Wait()
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if _, started := s.sequence.Last(); started && !stalls.Begun() && s.emptyEndAttempt == 0 {
+			if !s.confirmsEnd(stalls.Begun()) {
 				return false, s.rejectEmptyEnd(target)
 			}
 			s.writeHeader()
@@ -286,22 +286,21 @@
 }
 
 // rejectEmptyEnd handles a server that ends a resumed stream without sending an event:
-// either the caller already has all events, or the server lost its position. The end is
-// accepted only if no other server can be asked; see acceptEmptyEnd.
+// either the caller already has all events, or the server lost its position. The next server
+// is asked for the last event again, see resumeCursor.
 func (s *stream) rejectEmptyEnd(target attemptTarget) error {
-	s.emptyEndAttempt = s.attempts
+	if !s.endedEmpty {
+		s.endedEmpty, s.emptyEndServer = true, target.server.ID
+	}
 	s.logAttempt("stream ended without events", target.server.ID, nil)
 	s.reportLoss(target.server.Entry, io.EOF)
 	return rwerror.New(rwerror.KindOutcomeUnknown, "retry with the id of the last event",
 		"backend server %s ended the stream without an event", target.server.ID).WithRan(rwerror.RanUnknown)
 }
 
-// recordCompletion records the end of a complete stream. server is empty if none confirmed
-// the end.
+// recordCompletion records the end of a complete stream.
 func (s *stream) recordCompletion(server string, reply ResponseInfo) {
-	if server != "" {
-		s.recordSurvival(server, http.StatusOK)
-	}
+	s.recordSurvival(server, http.StatusOK)
 	s.f.Directory.RecordResponse(server, false, 0, reply.Load)
 	first := time.Duration(0)
 	if s.eventsSent > 0 {
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -18,25 +18,26 @@
 // backend servers in turn.
 type stream struct {
 	*call
-	copies          copyManager
-	sequence        *rwrelay.Sequencer // filters events that the caller already has
-	identity        string             // of the request's content, see rwbackend.Run.Request
-	generation      string             // see rwbackend.Run.Generation
-	run             rwbackend.Run      // as last published to the other instances
-	head            *http.Response     // latest response that a server began; its header is sent with the first event
-	headerSent      bool               // the caller has received the response header
-	eventsSent      int                // events sent to the caller
-	firstEventAt    time.Time          // zero before the first event
-	lastEventAt     time.Time          // zero before the first event
-	longestPause    time.Duration      // between two events, across servers
-	lastErr         error              // error of the latest failed attempt
-	promptHolders   []string           // ids of the servers that have the prompt cached: that of the previous run, or what HolderFinder found
-	emptyEndAttempt int                // attempt whose server ended the stream without an event; 0 if none did
-	mayHaveRun      bool               // a server may have run the request
-	final           bool               // make no further attempt
-	refusals        int                // attempts that the server did not run
-	refusedLast     bool               // the latest attempt was one of them
-	serverWait      time.Duration      // latest pause of awaitServer; 0 if there was none since the last event
+	copies         copyManager
+	sequence       *rwrelay.Sequencer // filters events that the caller already has
+	identity       string             // of the request's content, see rwbackend.Run.Request
+	generation     string             // see rwbackend.Run.Generation
+	run            rwbackend.Run      // as last published to the other instances
+	head           *http.Response     // latest response that a server began; its header is sent with the first event
+	headerSent     bool               // the caller has received the response header
+	eventsSent     int                // events sent to the caller
+	firstEventAt   time.Time          // zero before the first event
+	lastEventAt    time.Time          // zero before the first event
+	longestPause   time.Duration      // between two events, across servers
+	lastErr        error              // error of the latest failed attempt
+	promptHolders  []string           // ids of the servers that have the prompt cached: that of the previous run, or what HolderFinder found
+	endedEmpty     bool               // a server ended the resumed stream without an event, see resumeCursor
+	emptyEndServer string             // the first server that did, if it may be asked again; empty otherwise
+	mayHaveRun     bool               // a server may have run the request
+	final          bool               // make no further attempt
+	refusals       int                // attempts that the server did not run
+	refusedLast    bool               // the latest attempt was one of them
+	serverWait     time.Duration      // latest pause of awaitServer; 0 if there was none since the last event
 }
 
 // Causes of an interrupted attempt.
@@ -62,11 +63,6 @@
 	}
 	for {
 		target, err := s.awaitTarget()
-		if err != nil && s.acceptEmptyEnd() {
-			s.writeHeader()
-			s.recordCompletion("", ResponseInfo{})
-			return nil
-		}
 		if c.r.Context().Err() != nil {
 			return s.abortCallerLeft()
 		}
@@ -102,17 +98,43 @@
 			s.awaitServer(s.lastErr)
 		}
 		target, err := s.nextTarget()
-		if err == nil || s.acceptEmptyEnd() || !s.awaitServer(err) {
+		if err != nil && s.readmitEmptyEndServer() {
+			target, err = s.nextTarget()
+		}
+		if err == nil || !s.awaitServer(err) {
 			return target, err
 		}
 	}
 }
 
-// acceptEmptyEnd reports whether the latest attempt ended without an event while
-// attempts and time are left. It is called if nextTarget fails: with no other server to
-// ask, the stream counts as complete.
-func (s *stream) acceptEmptyEnd() bool {
-	return s.emptyEndAttempt > 0 && s.attempts == s.emptyEndAttempt && s.attempts < s.route.Attempts && s.remaining() > 0
+// readmitEmptyEndServer lets the server that first ended the stream without an event be asked
+// once more. It reports whether there is one.
+func (s *stream) readmitEmptyEndServer() bool {
+	if s.emptyEndServer == "" {
+		return false
+	}
+	delete(s.tried, s.emptyEndServer)
+	s.emptyEndServer = ""
+	return true
+}
+
+// resumeCursor returns the id of the event after which a server is asked to resume the stream,
+// and false if it begins anew. Once a server has ended the stream without an event, the others
+// are asked for the last event again: a server that sends it and then ends the stream has kept
+// its position, so that its end can be trusted.
+func (s *stream) resumeCursor() (int64, bool) {
+	last, started := s.sequence.Last()
+	if started && s.endedEmpty && last > 0 {
+		last--
+	}
+	return last, started
+}
+
+// confirmsEnd reports whether a server's end of the stream makes it complete. A server that
+// sent no event may have lost its position, unless there is no event to ask for again.
+func (s *stream) confirmsEnd(sentEvents bool) bool {
+	last, started := s.sequence.Last()
+	return sentEvents || !started || s.endedEmpty && last <= 0
 }
 
 // attemptTarget is where the next attempt runs.
