A part is tried after 2 s if the servers may have been lost for another reason

Cause: five losses before a response hold a part that no server is known to have written on, an instance that has just started knows no such part, and the first trial came after 30 s whatever the hold rested on.

Fix: a hold is doubtful unless three strong losses began it, where three or more within 0.5 s count as one. A doubtful one has one trial more, after 2 s. A part that crashes servers so costs one more of them.

Evidence: TestDoubtfulHold failed before in four cases.

--- a/internal/rwpart/admit.go
+++ b/internal/rwpart/admit.go
@@ -11,6 +11,10 @@
 // next. The last one repeats. Each trial may crash one more server.
 var trialIntervals = []time.Duration{30 * time.Second, 5 * time.Minute, 25 * time.Minute, HoldLife}
 
+// doubtfulTrialIntervals are those for holds that are doubtful, see entry: the servers may have
+// been lost for another reason, which is mostly over within seconds.
+var doubtfulTrialIntervals = append([]time.Duration{2 * time.Second}, trialIntervals...)
+
 // Instances try a held part in turn, as one that comes earlier may be gone or have no request
 // with the part. A turn covers the time until others know of a crash.
 const (
@@ -45,8 +49,11 @@
 // after the other, as a crash under one of them would count for those beside it.
 func (e *entry) delayTrial(part Key, now time.Time) {
 	intervals := trialIntervals
-	if e.plain() {
+	switch {
+	case e.plain():
 		intervals = plainTrialIntervals
+	case e.doubtful:
+		intervals = doubtfulTrialIntervals
 	}
 	interval := intervals[min(e.trials, len(intervals)-1)]
 	if e.plain() {
--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -21,9 +21,14 @@
 	maxLosses = holdAfterLosses + 1
 	// sameCauseWindow is the time within which losses of one zone count as one.
 	sameCauseWindow = 500 * time.Millisecond
+	// minBurst is the number of losses at the same time from which they may have one cause.
+	minBurst = 3
 	// lossTTL is how long losses count that don't hold a part, and how long it counts that
 	// a server wrote on it.
 	lossTTL = 10 * time.Minute
+	// doubtfulLife is the age of the last loss from which a hold that an instance learns of is
+	// not doubtful: the instances before it have tried the part.
+	doubtfulLife = 30 * time.Second
 	// HoldLife is how long a part is held after its last loss.
 	HoldLife = time.Hour
 	// SoundEvents is the number of events from which a response may be well past its
@@ -54,6 +59,7 @@
 	losses    []recordedLoss
 	updatedAt time.Time // of the last loss
 	heldSince time.Time // zero if the part is not held
+	doubtful  bool      // the hold began with losses that may have another cause, see laidToPart
 	trials    int       // requests that were let through since, at all instances
 	trying    bool      // this instance let the latest one through, and no loss followed yet
 	trialAt   time.Time // when the next one may be
@@ -284,12 +290,49 @@
 	switch held := r.crashesLocked(part, e, now); {
 	case held && !e.held():
 		e.heldSince, e.trials = now, 0
+		e.doubtful = now.Sub(e.updatedAt) < doubtfulLife && !e.laidToPart()
 		e.delayTrial(part, now)
 	case !held:
 		e.heldSince = time.Time{}
 	}
 }
 
+// laidToPart reports whether enough losses to hold the part are strong ones. Many at the same
+// time count once, as they may have one other cause.
+func (e *entry) laidToPart() bool {
+	strong := map[Version][]time.Time{}
+	for _, l := range e.losses {
+		if l.strong() {
+			strong[l.Version] = append(strong[l.Version], l.lostAt)
+		}
+	}
+	for _, times := range strong {
+		if countCauses(times) >= holdAfterStrong {
+			return true
+		}
+	}
+	return false
+}
+
+// countCauses returns the number of losses, where minBurst or more within sameCauseWindow count
+// once.
+func countCauses(lostAt []time.Time) int {
+	slices.SortFunc(lostAt, time.Time.Compare)
+	causes := 0
+	for len(lostAt) > 0 {
+		burst := 1
+		for burst < len(lostAt) && lostAt[burst].Sub(lostAt[0]) < sameCauseWindow {
+			burst++
+		}
+		lostAt = lostAt[burst:]
+		if burst >= minBurst {
+			burst = 1
+		}
+		causes += burst
+	}
+	return causes
+}
+
 // crashesLocked reports whether there are enough losses of one version to hold the part.
 func (r *Registry) crashesLocked(part Key, e *entry, now time.Time) bool {
 	for _, l := range e.losses {
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -216,6 +216,76 @@
 	}
 }
 
+// loseAtOnce records losses of servers of five zones at the same time.
+func loseAtOnce(r *rwpart.Registry, begun bool, servers ...int) {
+	for _, n := range servers {
+		l := loss(n)
+		l.Zone, l.Begun = rwpart.NewZone(fmt.Sprint("z", n%5)), begun
+		r.RecordLoss(part, l)
+	}
+}
+
+// TestDoubtfulHold guards against sound parts that are held for 30 s after all servers were lost
+// at once, as by a loss of power, and against trials that crash many more servers where the part
+// is the cause. Found by soak seed 1796397135132.
+func TestDoubtfulHold(t *testing.T) {
+	const hour = 3600
+	for name, c := range map[string]struct {
+		record               func(r *rwpart.Registry)
+		rank                 int // instances that come before
+		soundFrom            int // second from which servers stay alive
+		minTrials, maxTrials int
+		releasedAt           int // second by which the part must have been released
+	}{
+		"before a response":           {func(r *rwpart.Registry) { loseAtOnce(r, false, 1, 2, 3, 4, 5) }, 0, 1, 1, 1, 3},
+		"in a response":               {func(r *rwpart.Registry) { loseAtOnce(r, true, 1, 2, 3) }, 0, 1, 1, 1, 3},
+		"the first instances gone":    {func(r *rwpart.Registry) { loseAtOnce(r, false, 1, 2, 3, 4, 5) }, 2, 1, 1, 1, 9},
+		"servers away for longer":     {func(r *rwpart.Registry) { loseAtOnce(r, false, 1, 2, 3, 4, 5) }, 0, 6, 2, 2, 33},
+		"the part crashes servers":    {func(r *rwpart.Registry) { loseAtOnce(r, true, 1, 2, 3) }, 0, hour, 2, 4, hour},
+		"one at a time":               {func(r *rwpart.Registry) { lose(r, part, 1, 2, 3) }, 0, 25, 1, 1, 31},
+		"one at a time, and all once": {func(r *rwpart.Registry) { lose(r, part, 1, 2, 3); loseAtOnce(r, true, 4, 5, 6) }, 0, 25, 1, 1, 34},
+		"one request tried in turn": {func(r *rwpart.Registry) {
+			for n := range 3 {
+				r.RecordLoss(part, loss(n))
+				time.Sleep(350 * time.Millisecond)
+			}
+		}, 0, 25, 1, 1, 31},
+		"learnt from the store": {func(r *rwpart.Registry) {
+			for n := range 5 {
+				l := loss(n)
+				l.Zone, l.Begun, l.Age = rwpart.NewZone(fmt.Sprint("z", n)), false, time.Minute.Milliseconds()
+				r.Merge(rwpart.Finding{Part: part, Losses: []rwpart.Loss{l}})
+			}
+		}, 0, 25, 1, 1, 31},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rwpart.Registry{TrialRank: func(rwpart.Key) int { return c.rank }}
+				c.record(&r)
+				trials, releasedAt := 0, hour
+				for second := range hour {
+					if trial, _ := r.Admit([]rwpart.Key{part}, version1); trial {
+						trials++
+						if second >= c.soundFrom {
+							sound(&r, part, version1)
+						} else {
+							r.RecordLoss(part, loss(second+10))
+						}
+					}
+					if len(r.Held()) == 0 {
+						releasedAt = second
+						break
+					}
+					time.Sleep(time.Second)
+				}
+				require.GreaterOrEqual(t, trials, c.minTrials)
+				require.LessOrEqual(t, trials, c.maxTrials)
+				require.LessOrEqual(t, releasedAt, c.releasedAt)
+			})
+		})
+	}
+}
+
 // TestTrialsOfOthers guards against instances that each try a held part as often as one may.
 func TestTrialsOfOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
