A loss counts as that of a trial by the time at which it happened

Cause, from the logs: the trial met a server whose connections were reset, and its loss was withdrawn as the server ran on, without bringing the next trial forward. And notices told losses from before the hold again, which had given way to others in the list of six; they counted as trials, so that the next one was due after 5 minutes.

Fix: only a loss that happened after the hold had begun counts as that of a trial, delays are counted from the loss, and a trial whose loss is withdrawn is made anew.

Evidence: TestTrialOfPath and TestLateLossesNoTrials failed before.

--- a/internal/rwpart/admit.go
+++ b/internal/rwpart/admit.go
@@ -45,9 +45,10 @@
 // of requests that were sent before it.
 const holdSettleTime = time.Second
 
-// delayTrial sets when the next trial may be. Traits that were held together are tried one
-// after the other, as a crash under one of them would count for those beside it.
-func (e *entry) delayTrial(part Key, now time.Time) {
+// delayTrial delays the next trial to an interval after a loss, a trial or the beginning of the
+// hold. Traits that were held together are tried one after the other, as a crash under one of
+// them would count for those beside it.
+func (e *entry) delayTrial(part Key, since time.Time) {
 	intervals := trialIntervals
 	switch {
 	case e.plain():
@@ -60,7 +61,9 @@
 		const steps = 64
 		interval += 2 * interval * time.Duration(part%steps) / steps
 	}
-	e.trialAt = now.Add(interval)
+	if at := since.Add(interval); at.After(e.trialAt) {
+		e.trialAt = at
+	}
 }
 
 // Admit returns an error if a request with the parts must not be sent to a server of the
--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -72,6 +72,12 @@
 
 func (e *entry) held() bool { return !e.heldSince.IsZero() }
 
+// lostInTrial reports whether a loss followed a trial. One that this instance learns of late may
+// be older than the hold.
+func (e *entry) lostInTrial(l recordedLoss) bool {
+	return e.held() && l.lostAt.Sub(e.heldSince) > holdSettleTime
+}
+
 func (e *entry) expired(now time.Time) bool {
 	if e.held() {
 		return now.Sub(e.updatedAt) > HoldLife
@@ -109,7 +115,18 @@
 func (r *Registry) withdrawLocked(part Key, process Process) bool {
 	r.alive.add(process, time.Now())
 	e, ok := r.entries[part]
-	return ok && r.removeLocked(part, e, func(l recordedLoss) bool { return l.Process == process })
+	if !ok {
+		return false
+	}
+	isOfProcess := func(l recordedLoss) bool { return l.Process == process }
+	inTrial := slices.ContainsFunc(e.losses, func(l recordedLoss) bool { return isOfProcess(l) && e.lostInTrial(l) })
+	if !r.removeLocked(part, e, isOfProcess) {
+		return false
+	}
+	if inTrial && e.held() { // the trial told nothing
+		e.trials, e.trialAt = max(0, e.trials-1), time.Now()
+	}
+	return true
 }
 
 // Merge adds a finding of another instance or the store. held reports that the part is now
@@ -253,12 +270,14 @@
 	if l.lostAt.After(e.updatedAt) {
 		e.updatedAt = l.lostAt
 	}
-	if e.held() {
-		if !e.trying && now.Sub(e.heldSince) > holdSettleTime {
+	if e.lostInTrial(l) {
+		if !e.trying {
 			e.trials++ // of another instance
 		}
 		e.trying = false
-		e.delayTrial(part, now)
+	}
+	if e.held() {
+		e.delayTrial(part, l.lostAt)
 	}
 	r.updateLocked(part, e, now)
 }
@@ -289,7 +308,7 @@
 func (r *Registry) updateLocked(part Key, e *entry, now time.Time) {
 	switch held := r.crashesLocked(part, e, now); {
 	case held && !e.held():
-		e.heldSince, e.trials = now, 0
+		e.heldSince, e.trials, e.trying, e.trialAt = now, 0, false, time.Time{}
 		e.doubtful = now.Sub(e.updatedAt) < doubtfulLife && !e.laidToPart()
 		e.delayTrial(part, now)
 	case !held:
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -286,6 +286,53 @@
 	}
 }
 
+// TestTrialOfPath guards against sound parts that stay held for minutes because the request that
+// tried them was lost with a connection, at a server that still runs.
+func TestTrialOfPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r rwpart.Registry
+		lose(&r, part, 1, 2, 3)
+		tryPart := func(trial bool) {
+			admitted, _ := r.Admit([]rwpart.Key{part}, version1)
+			require.Equal(t, trial, admitted)
+		}
+		time.Sleep(30 * time.Second)
+		tryPart(true)
+		r.RecordLoss(part, loss(6))
+		tryPart(false)
+		time.Sleep(2 * time.Second)
+		r.Withdraw([]rwpart.Key{part}, loss(6).Process)
+		tryPart(true)
+		tryPart(false)
+	})
+}
+
+// TestLateLossesNoTrials guards against sound parts that stay held for minutes because losses
+// from before the hold, that others tell again, count as trials. Found by soak seed 1796400000022.
+func TestLateLossesNoTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r, other rwpart.Registry
+		for n := range 8 {
+			l := loss(n)
+			l.Zone = rwpart.NewZone(fmt.Sprint("z", n))
+			if n%2 == 0 {
+				r.RecordLoss(part, l)
+			} else {
+				other.RecordLoss(part, l)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		for range 5 {
+			time.Sleep(5 * time.Second)
+			r.Merge(other.Get(part))
+			r.Merge(other.Get(part))
+		}
+		time.Sleep(6 * time.Second)
+		trial, _ := r.Admit([]rwpart.Key{part}, version1)
+		require.True(t, trial, "30 s after the hold")
+	})
+}
+
 // TestTrialsOfOthers guards against instances that each try a held part as often as one may.
 func TestTrialsOfOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
