A resumed stream that ends before the caller's last event isn't complete either

What callers would see: a stream that looks complete although the server that resumed it ended it after events that the caller had, without the last of them.

Cause: any event of the attempt made its end count.

Fix: the end counts only if the server sent the last event that the caller has.

--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -111,12 +111,13 @@
 	s.progress.begunAt = time.Now()
 	s.head = response
 	events := rwrelay.NewEvents(response.Body)
+	reached := false // the server sent the last event that the caller has
 	for {
 		stalls.Wait()
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !s.confirmsEnd(stalls.Begun()) {
-				return false, s.rejectEmptyEnd(target)
+			if !s.confirmsEnd(reached) {
+				return false, s.rejectEnd(target)
 			}
 			s.writeHeader()
 			s.recordPartCompletion(target.server.Entry, response)
@@ -135,6 +136,8 @@
 		if err := s.forwardEvent(event); err != nil {
 			return false, s.recordInterruption(target, err)
 		}
+		last, _ := s.sequence.Last()
+		reached = event.HasID && event.ID == last
 	}
 }
 
@@ -285,17 +288,17 @@
 	return nil
 }
 
-// rejectEmptyEnd handles a server that ends a resumed stream without sending an event:
-// either the caller already has all events, or the server lost its position. The next server
-// is asked for the last event again, see resumeCursor.
-func (s *stream) rejectEmptyEnd(target attemptTarget) error {
-	if !s.endedEmpty {
-		s.endedEmpty, s.emptyEndServer = true, target.server.ID
+// rejectEnd handles a server that ends a resumed stream without a new event or the last one that
+// the caller has: either the caller already has all events, or the server lost its position. The
+// next server is asked for the last event again, see resumeCursor.
+func (s *stream) rejectEnd(target attemptTarget) error {
+	if !s.endRejected {
+		s.endRejected, s.rejectedServer = true, target.server.ID
 	}
-	s.logAttempt("stream ended without events", target.server.ID, nil)
+	s.logAttempt("stream ended before the caller's last event", target.server.ID, nil)
 	s.reportLoss(target.server.Entry, io.EOF)
 	return rwerror.New(rwerror.KindOutcomeUnknown, "retry with the id of the last event",
-		"backend server %s ended the stream without an event", target.server.ID).WithRan(rwerror.RanUnknown)
+		"backend server %s ended the stream before the last event that the caller has", target.server.ID).WithRan(rwerror.RanUnknown)
 }
 
 // recordCompletion records the end of a complete stream.
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -31,8 +31,8 @@
 	longestPause   time.Duration      // between two events, across servers
 	lastErr        error              // error of the latest failed attempt
 	promptHolders  []string           // ids of the servers that have the prompt cached: that of the previous run, or what HolderFinder found
-	endedEmpty     bool               // a server ended the resumed stream without an event, see resumeCursor
-	emptyEndServer string             // the first server that did, if it may be asked again; empty otherwise
+	endRejected    bool               // a server's end of the resumed stream was rejected, see rejectEnd
+	rejectedServer string             // the first server whose end was rejected, if it may be asked again; empty otherwise
 	mayHaveRun     bool               // a server may have run the request
 	final          bool               // make no further attempt
 	refusals       int                // attempts that the server did not run
@@ -98,7 +98,7 @@
 			s.awaitServer(s.lastErr)
 		}
 		target, err := s.nextTarget()
-		if err != nil && s.readmitEmptyEndServer() {
+		if err != nil && s.readmitServer() {
 			target, err = s.nextTarget()
 		}
 		if err == nil || !s.awaitServer(err) {
@@ -107,34 +107,35 @@
 	}
 }
 
-// readmitEmptyEndServer lets the server that first ended the stream without an event be asked
-// once more. It reports whether there is one.
-func (s *stream) readmitEmptyEndServer() bool {
-	if s.emptyEndServer == "" {
+// readmitServer lets the first server whose end of the stream was rejected be asked once more.
+// It reports whether there is one.
+func (s *stream) readmitServer() bool {
+	if s.rejectedServer == "" {
 		return false
 	}
-	delete(s.tried, s.emptyEndServer)
-	s.emptyEndServer = ""
+	delete(s.tried, s.rejectedServer)
+	s.rejectedServer = ""
 	return true
 }
 
 // resumeCursor returns the id of the event after which a server is asked to resume the stream,
-// and false if it begins anew. Once a server has ended the stream without an event, the others
-// are asked for the last event again: a server that sends it and then ends the stream has kept
-// its position, so that its end can be trusted.
+// and false if it begins anew. Once an end of the stream was rejected, servers are asked
+// for the caller's last event again: one that sends it and then ends the stream has kept its
+// position, so that its end can be trusted.
 func (s *stream) resumeCursor() (int64, bool) {
 	last, started := s.sequence.Last()
-	if started && s.endedEmpty && last > 0 {
+	if started && s.endRejected && last > 0 {
 		last--
 	}
 	return last, started
 }
 
-// confirmsEnd reports whether a server's end of the stream makes it complete. A server that
-// sent no event may have lost its position, unless there is no event to ask for again.
-func (s *stream) confirmsEnd(sentEvents bool) bool {
+// confirmsEnd reports whether a server's end of the stream makes it complete. reached reports
+// whether the server sent the last event that the caller has. Without it the server may have lost
+// its position, unless there is no event to ask for again.
+func (s *stream) confirmsEnd(reached bool) bool {
 	last, started := s.sequence.Last()
-	return sentEvents || !started || s.endedEmpty && last <= 0
+	return reached || !started || s.endRejected && last <= 0
 }
 
 // attemptTarget is where the next attempt runs.
