The listener for metrics is opened before an instance can be ready

Cause, by reading: a goroutine opened the listener and nothing waited for it.

Fix: it is opened before the goroutines start.

--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -130,7 +130,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.loops(), i.expire, i.serveMetrics, i.moves.run, i.moves.watchCapacity, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
+	for _, run := range append(i.feeds.loops(), i.expire, i.listenMetrics(), i.moves.run, i.moves.watchCapacity, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx, endRequests)
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime"
 	"time"
@@ -17,12 +18,24 @@
 	statePath   = "/state"
 )
 
-// serveMetrics serves counters, latencies and the state dump until ctx ends. If the
-// listener fails, the instance keeps serving callers.
-func (i *Instance) serveMetrics(ctx context.Context) {
+// listenMetrics opens the listener for metrics and returns the function that serves them. It is
+// called before the instance can be ready, so that one that is ready has metrics. If the listener
+// fails, the instance keeps serving callers.
+func (i *Instance) listenMetrics() (serve func(ctx context.Context)) {
+	noMetrics := func(context.Context) {}
 	if i.Settings.MetricsAddress == "" {
-		return
+		return noMetrics
 	}
+	listener, err := net.Listen("tcp", i.Settings.MetricsAddress)
+	if err != nil {
+		i.Log.Error(err, "metrics server failed")
+		return noMetrics
+	}
+	return func(ctx context.Context) { i.serveMetrics(ctx, listener) }
+}
+
+// serveMetrics serves counters, latencies and the state dump until ctx ends.
+func (i *Instance) serveMetrics(ctx context.Context, listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		i.counters.Write(w)
@@ -37,10 +50,10 @@
 		encoder.SetIndent("", "  ")
 		_ = encoder.Encode(i.dump())
 	})
-	server := &http.Server{Addr: i.Settings.MetricsAddress, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
 		i.Log.Error(err, "metrics server failed")
 	}
 }
