--- a/internal/rwentry/settings.go
+++ b/internal/rwentry/settings.go
@@ -29,8 +29,24 @@
 	RetryRatio        float64       // retries that the fleet may make per request
 	RetryWindow       time.Duration // over which requests and retries are counted
 	RetryExtra        int           // retries that the fleet may make on top of the ratio
+	Duties            DutySettings  // zero if the deployment has none
 }
 
+// DutySettings are the settings of the duties that one instance carries out at a time.
+type DutySettings struct {
+	Address        string        // of the platform's interface for duties
+	CallsPerSecond float64       // that all instances together may make; zero if unknown
+	LeaseBound     time.Duration // within which two holders must not take turns
+	Fenced         bool          // the platform refuses calls with an outdated fencing number
+	Usage          bool          // usage is to be reported
+	UsageWindow    time.Duration // length of a window of usage
+	UsageDue       time.Duration // after the end of a window, by when its report is due
+	Scale          bool          // the number of servers is to be ordered
+}
+
+// Any reports whether the deployment has a duty.
+func (d DutySettings) Any() bool { return d.Usage || d.Scale }
+
 // Check checks that the name is set and that the addresses of the callers' listener,
 // the readiness listener and the store are valid. It returns an error of KindInvalid
 // for one setting that is not.
--- a/internal/rwroute/table.go
+++ b/internal/rwroute/table.go
@@ -94,8 +94,18 @@
 	Health      string // path of the health check
 	Connections int    // maximum number of connections that one server accepts from all clients
 	Engine      Engine // zero if the servers are not model servers
+	Scale       Scale  // zero if the number of servers isn't ours to order
 }
 
+// Scale bounds the number of a service's servers that may be ordered.
+type Scale struct {
+	Min, Max int           // servers in each availability zone
+	BootTime time.Duration // from an order until the new servers serve
+}
+
+// Ordered reports whether the number of servers may be ordered.
+func (s Scale) Ordered() bool { return s.Max > 0 }
+
 // Model reports whether the service's servers are model servers.
 func (s Service) Model() bool { return s.Engine.Slots > 0 }
 
