--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -78,6 +78,7 @@
 	sentAt := time.Now()
 	s.progress = responseProgress{}
 	stalls := rwrelay.NewStallDetector(s.timeToFirstEvent(target), s.route.MaxEventGap)
+	stalls.TargetLatency = s.route.TargetLatency
 	response, _, err := conn.Exchange(s.upstreamRequest(info), s.silencePolicy(stalls, target.server.ID, target.server.Address), s.ownsResponse)
 	if err != nil {
 		return false, s.recordInterruption(target, err)
--- a/internal/rwrelay/relay_test.go
+++ b/internal/rwrelay/relay_test.go
@@ -106,6 +106,28 @@
 			step, _ = d.Judge(400 * time.Millisecond)
 			require.Equal(t, rwrelay.StepProbe, step)
 		},
+		// Each probe is a new connection: one gap is probed at most, not each of them.
+		"no probe from the second long gap on": func(t *testing.T) {
+			d := detectorAfterEvents(35 * time.Millisecond)
+			time.Sleep(250 * time.Millisecond)
+			d.RecordEvent()
+			step, _ := d.Judge(270 * time.Millisecond)
+			require.Equal(t, rwrelay.StepWait, step)
+			step, _ = d.Judge(320 * time.Millisecond)
+			require.Equal(t, rwrelay.StepProbe, step)
+		},
+		"probes of a stream before its first event go by its target": func(t *testing.T) {
+			for target, interval := range map[time.Duration]time.Duration{0: 300 * time.Millisecond, 2 * time.Second: 300 * time.Millisecond, 10 * time.Second: 1250 * time.Millisecond} {
+				d := rwrelay.NewStallDetector(2*time.Second, 0)
+				d.TargetLatency = target
+				step, wait := d.Judge(interval - time.Millisecond)
+				require.Equal(t, rwrelay.StepWait, step)
+				require.Equal(t, time.Millisecond, wait)
+				step, _ = d.Judge(interval)
+				require.Equal(t, rwrelay.StepProbe, step)
+				require.Equal(t, time.Now().Add(-10*time.Millisecond), d.ProbeSince(interval+10*time.Millisecond))
+			}
+		},
 		"a hung server is detected within the maximum event gap": func(t *testing.T) {
 			d := detectorAfterEvents(230 * time.Millisecond)
 			step, _ := d.Judge(570 * time.Millisecond)
--- a/internal/rwrelay/stall.go
+++ b/internal/rwrelay/stall.go
@@ -8,25 +8,33 @@
 const (
 	// probeFactor is the number of mean gaps after which a server is probed.
 	probeFactor = 3
-	// minProbeDelay and maxProbeDelay bound that time. Gaps of some 10 ms are jitter.
-	// After maxProbeDelay, a probe and a switch to another server must still fit into
-	// MaxEventGap.
+	// minProbeDelay is the least such time: gaps of some 10 ms are jitter.
 	minProbeDelay = 120 * time.Millisecond
-	maxProbeDelay = 250 * time.Millisecond
+	// maxProbeFraction of MaxEventGap is the longest such time: a probe and a switch to
+	// another server must still fit into the rest.
+	maxProbeFraction = 0.45
+	// recentGapFactor is how many times the longest recent gap a server is not probed for. While a
+	// server prefills another prompt, its gaps are all about as long.
+	recentGapFactor = 1.3
 	// hangFactor is the number of mean gaps after which a server that can be reached
 	// is considered hung. The time is at least minHangTimeout, but never more than
 	// maxHangFraction of MaxEventGap.
 	hangFactor      = 8
 	minHangTimeout  = 450 * time.Millisecond
 	maxHangFraction = 0.8
-	// firstEventProbeInterval is the time between probes before the first event.
-	firstEventProbeInterval = 300 * time.Millisecond
+	// minFirstProbeInterval is the least time between probes before the first event. It is
+	// more, up to firstProbeFraction of the target latency, where the target leaves time to
+	// start again at another server.
+	minFirstProbeInterval = 300 * time.Millisecond
+	firstProbeFraction    = 0.125
 	// The timeout for the first event is firstEventFactor times the expected time until
 	// it, which covers the prefill of the queued prompts, plus firstEventSlack.
 	firstEventFactor = 2
 	firstEventSlack  = 2200 * time.Millisecond
 	// gapSmoothing is the weight of a new gap in the moving average.
 	gapSmoothing = 0.2
+	// recentGapDecay is the part by which the longest recent gap approaches a shorter new one.
+	recentGapDecay = 0.2
 	// defaultMaxEventGap applies to routes that set no maximum gap.
 	defaultMaxEventGap = 700 * time.Millisecond
 	// probeLifetime is how long the result of a probe applies.
@@ -40,8 +48,10 @@
 type StallDetector struct {
 	ExpectedFirst time.Duration // expected time until the first event
 	MaxEventGap   time.Duration // longest acceptable time between two events
+	TargetLatency time.Duration // within which the first event should arrive; zero for no target
 	started       bool          // the first event has arrived
 	meanGap       time.Duration // moving average; zero until the second event
+	recentGap     time.Duration // longest of the recent gaps, which decays; zero until the second event
 	lastEvent     time.Time     // time of the last event; the start of the attempt before the first
 	waitingSince  time.Time     // when the wait for the next event began
 }
@@ -71,6 +81,7 @@
 		d.started = true
 		return
 	}
+	d.recentGap = max(gap, d.recentGap+time.Duration(recentGapDecay*float64(gap-d.recentGap)))
 	if d.meanGap == 0 {
 		d.meanGap = gap
 		return
@@ -78,6 +89,17 @@
 	d.meanGap += time.Duration(gapSmoothing * float64(gap-d.meanGap))
 }
 
+// firstProbeInterval returns the time between probes before the first event.
+func (d *StallDetector) firstProbeInterval() time.Duration {
+	return max(minFirstProbeInterval, time.Duration(firstProbeFraction*float64(d.TargetLatency)))
+}
+
+// probeDelay returns the time without an event after which the server is probed.
+func (d *StallDetector) probeDelay() time.Duration {
+	usual := max(minProbeDelay, probeFactor*d.meanGap, time.Duration(recentGapFactor*float64(d.recentGap)))
+	return min(usual, time.Duration(maxProbeFraction*float64(d.MaxEventGap)))
+}
+
 // Begun reports whether an event has arrived.
 func (d *StallDetector) Begun() bool { return d.started }
 
@@ -98,12 +120,12 @@
 		if silence > firstEventFactor*d.ExpectedFirst+firstEventSlack {
 			return StepHung, 0
 		}
-		if silence >= firstEventProbeInterval {
-			return StepProbe, recheckInterval
+		if interval := d.firstProbeInterval(); silence < interval {
+			return StepWait, interval - silence
 		}
-		return StepWait, firstEventProbeInterval - silence
+		return StepProbe, recheckInterval
 	}
-	probeDelay := min(maxProbeDelay, max(minProbeDelay, probeFactor*d.meanGap))
+	probeDelay := d.probeDelay()
 	hangTimeout := min(time.Duration(maxHangFraction*float64(d.MaxEventGap)), max(minHangTimeout, hangFactor*d.meanGap))
 	switch {
 	case silence >= hangTimeout:
@@ -122,5 +144,5 @@
 	if d.started {
 		return now.Add(max(-silence+minProbeDelay, -probeLifetime))
 	}
-	return now.Add(-silence % firstEventProbeInterval)
+	return now.Add(-silence % d.firstProbeInterval())
 }
