Lease of the duties, its calls and its announcements

Cause: nothing elected the instance that reports usage and orders servers. Change: rwduty (decisions as a state machine; Lease does the calls), a notice field of its holder, the object rwduties/lease, the client of the platform's interface for duties, and rwentry's duties, in force only where the settings name one. Release at SIGTERM.

--- /dev/null
+++ b/internal/rwduty/machine.go
@@ -0,0 +1,360 @@
+package rwduty
+
+import (
+	"slices"
+	"time"
+
+	"ragwortwall/internal/rwfeed"
+	"ragwortwall/internal/rwtime"
+)
+
+const (
+	// firstSilence is how long an instance without knowledge of a holder listens before it
+	// reads the object. It covers two announcements.
+	firstSilence = 2*announceInterval + announceInterval/5
+	// rankDelay is what each of the first closeRanks claimants waits longer than the one before
+	// it, and farRankDelay what each of the others does, up to maxRankDelay. The first one that
+	// lives has then mostly read and written before the next one reads.
+	rankDelay    = 100 * time.Millisecond
+	closeRanks   = 20
+	farRankDelay = 25 * time.Millisecond
+	maxRankDelay = 4 * time.Second
+	// eligiblePoll is how often an instance checks whether it has become a claimant.
+	eligiblePoll = 200 * time.Millisecond
+	// holderPause and claimantPause are the first pauses after a failed call to the store;
+	// they double up to Rules.Renew and to maxClaimantPause.
+	holderPause      = 50 * time.Millisecond
+	claimantPause    = 200 * time.Millisecond
+	maxClaimantPause = 2 * time.Second
+	// maxAttempts bounds the writes without a known outcome that are remembered.
+	maxAttempts = 16
+	// maxStep bounds the step by which a refused holder raises its number.
+	maxStep = 1 << 20
+	// forever is a wait that only news end.
+	forever = time.Minute
+)
+
+// deed is what is to be done next.
+type deed int
+
+const (
+	deedWait  deed = iota // until action.until, or until there are news
+	deedRead              // read the object
+	deedWrite             // write action.record on the condition that the object is at action.at
+)
+
+type action struct {
+	deed   deed
+	until  rwtime.BootTime
+	at     rwfeed.Position // of the object that the write replaces; revision zero to create it
+	record Record
+}
+
+// attempt is a write whose outcome isn't known yet.
+type attempt struct {
+	record Record
+	at     rwtime.BootTime // before it was sent
+}
+
+// candidate is what decides whether and when an instance claims the lease.
+type candidate struct {
+	eligible bool
+	rank     int // number of claimants that go first
+}
+
+// machine decides for one instance. It has no clock and does no calls: it is told the time,
+// what was read and heard, and how writes ended. Times that it is told never fall.
+type machine struct {
+	rules Rules
+	self  string
+	life  int64
+
+	startedAt  rwtime.BootTime // when the machine was first asked
+	eligibleAt rwtime.BootTime // since when this instance could claim; zero while it can't
+	position   rwfeed.Position // newest known of the object
+	positionAt rwtime.BootTime // when it was first known; zero while none is
+	reading    *Reading        // the object at position, if it was read or written
+	free       bool            // the object at position says that it was given up
+	highest    int64           // highest fencing number known
+
+	other   string          // the other holder known last
+	fenceOf int64           // its fencing number
+	otherAt rwtime.BootTime // since when another holder is known after the own time; zero for none
+
+	fence    int64           // own fencing number; zero while this instance isn't the holder
+	last     int64           // own fencing number as long as the process lives
+	until    rwtime.BootTime // until when it may call
+	renewAt  rwtime.BootTime
+	attempts []attempt
+	count    int64
+	unsure   bool  // what the object says must be read before anything else is done
+	refused  int64 // highest own number that was refused
+	step     int64 // by which the number was raised last
+	leaving  bool
+
+	failures int
+	pausedTo rwtime.BootTime
+}
+
+func after(t rwtime.BootTime, d time.Duration) rwtime.BootTime { return t + rwtime.BootTime(d) }
+
+// grant returns the right to call, and until when it lasts.
+func (m *machine) grant(now rwtime.BootTime) (Grant, rwtime.BootTime, bool) {
+	ok := m.fence > m.refused && !m.leaving && now < m.until
+	return Grant{Holder: m.self, Fence: m.fence}, m.until, ok
+}
+
+// next returns what is to be done now. idle reports that no call runs
+// or is on its way under the lease.
+func (m *machine) next(now rwtime.BootTime, c candidate, idle bool) action {
+	if m.startedAt == 0 {
+		m.startedAt = now
+	}
+	switch {
+	case !c.eligible:
+		m.eligibleAt = 0
+	case m.eligibleAt == 0:
+		m.eligibleAt = now
+	}
+	if now < m.pausedTo {
+		return action{until: m.pausedTo}
+	}
+	if m.unsure && (m.fence != 0 || !m.leaving) {
+		return action{deed: deedRead}
+	}
+	if m.fence != 0 {
+		return m.nextOfHolder(now, idle)
+	}
+	if m.leaving {
+		return action{until: after(now, forever)}
+	}
+	if !c.eligible {
+		return action{until: after(now, eligiblePoll)}
+	}
+	return m.nextOfClaimant(now, c.rank)
+}
+
+func (m *machine) nextOfHolder(now rwtime.BootTime, idle bool) action {
+	record := m.reading.Record
+	switch {
+	case m.leaving && !idle:
+		return action{until: after(now, eligiblePoll)}
+	case m.leaving:
+		record.Free = true
+	case m.refused >= m.fence:
+		m.step = min(maxStep, max(1, 2*m.step))
+		record.Fence = max(m.highest, m.refused) + m.step
+	case now < m.renewAt:
+		return action{until: m.renewAt}
+	}
+	return m.write(now, record)
+}
+
+// nextOfClaimant reads the object, and takes the lease if the object was given up or hasn't
+// changed for as long as the lease lasts.
+func (m *machine) nextOfClaimant(now rwtime.BootTime, rank int) action {
+	due := after(m.eligibleAt, firstSilence)
+	switch {
+	case m.positionAt != 0 && m.free:
+		due = m.positionAt
+	case m.positionAt != 0:
+		due = after(m.positionAt, m.rules.Length)
+	}
+	due = max(after(due, delayOfRank(rank)), m.returnAt(now))
+	if now < due {
+		return action{until: due}
+	}
+	if m.reading == nil {
+		return action{deed: deedRead}
+	}
+	old := m.reading.Record
+	return m.write(now, Record{Holder: m.self, Life: m.life, Fence: m.nextFence(), Former: old.formerFor(m.self)})
+}
+
+// returnAt returns when this instance, if it was a holder, may be one again after its successor.
+func (m *machine) returnAt(now rwtime.BootTime) rwtime.BootTime {
+	if m.reading == nil {
+		return 0
+	}
+	r := m.reading.Record
+	if r.fence() < firstFence(m.position.Era) {
+		// The store came back without what was written last: who held the lease isn't known.
+		if m.last != 0 || now < after(m.startedAt, m.rules.Return) {
+			return after(m.positionAt, m.rules.Return)
+		}
+		return 0
+	}
+	if r.Holder != m.self && slices.Contains(r.formerFor(""), m.self) {
+		return after(m.otherAt, m.rules.Return)
+	}
+	return 0
+}
+
+func delayOfRank(rank int) time.Duration {
+	rank = max(0, rank)
+	near := min(rank, closeRanks)
+	return min(maxRankDelay, time.Duration(near)*rankDelay+time.Duration(rank-near)*farRankDelay)
+}
+
+// nextFence returns a number that no holder has had.
+func (m *machine) nextFence() int64 {
+	return max(m.highest, m.refused, firstFence(m.position.Era)) + 1
+}
+
+// write names the write by its count and remembers when it was begun.
+func (m *machine) write(now rwtime.BootTime, record Record) action {
+	m.count++
+	record.Count = m.count
+	m.attempts = append(m.attempts, attempt{record, now})
+	if len(m.attempts) > maxAttempts {
+		m.attempts = m.attempts[1:]
+	}
+	m.highest = max(m.highest, record.fence())
+	return action{deed: deedWrite, at: m.position, record: record}
+}
+
+// written records that the last write succeeded.
+func (m *machine) written(now rwtime.BootTime, p rwfeed.Position) {
+	if p.Revision == 0 {
+		m.unsure = true // the store didn't tell the object's new revision
+		return
+	}
+	m.failures = 0
+	m.observe(now, p)
+	m.apply(now, Reading{Position: p, Record: m.attempts[len(m.attempts)-1].record})
+}
+
+// conflict records that the last write was not done, as the object had changed.
+func (m *machine) conflict(now rwtime.BootTime) {
+	m.attempts = m.attempts[:len(m.attempts)-1]
+	m.reading = nil
+	if m.fence != 0 || len(m.attempts) > 0 {
+		m.until = min(m.until, now)
+		m.unsure = true
+		return
+	}
+	// Another claimant was faster, and its announcement is on its way.
+	m.pause(now, claimantPause, m.rules.Renew)
+}
+
+// failed records that a call to the store had no answer. A write may have been done, or may
+// be later.
+func (m *machine) failed(now rwtime.BootTime, wrote bool, rank int) {
+	m.unsure = m.unsure || wrote
+	if m.fence != 0 {
+		m.pause(now, holderPause, m.rules.Renew)
+		return
+	}
+	m.pause(now, claimantPause, max(maxClaimantPause, 2*delayOfRank(rank)))
+}
+
+func (m *machine) pause(now rwtime.BootTime, first, most time.Duration) {
+	d := min(most, first<<min(m.failures, 10))
+	m.failures++
+	m.pausedTo = after(now, d)
+}
+
+// read records what the object says.
+func (m *machine) read(now rwtime.BootTime, r Reading) {
+	m.unsure, m.failures = false, 0
+	if m.positionAt == 0 || r.Position != m.position {
+		m.observe(now, r.Position)
+	}
+	m.apply(now, r)
+}
+
+// observe records that the object is at a position.
+func (m *machine) observe(now rwtime.BootTime, p rwfeed.Position) {
+	m.position, m.positionAt, m.reading, m.free = p, now, nil, false
+}
+
+// apply records the object at the position that was observed last.
+func (m *machine) apply(now rwtime.BootTime, r Reading) {
+	m.reading = &r
+	m.highest = max(m.highest, r.Record.fence())
+	first := firstFence(r.Position.Era)
+	// A copy may say that the lease is free which was taken again before the store came back.
+	m.free = r.Record.Free && r.Record.fence() >= first
+	if r.Record.Life != m.life || r.Record.Holder != m.self {
+		m.fence = 0
+		m.noteOther(now, r.Record.Holder, r.Record.fence())
+		return
+	}
+	m.other, m.otherAt = "", 0
+	if r.Record.Free || r.Record.fence() < first {
+		// In a new era a number of its own is needed, and calls with the one before may be
+		// on their way: like any claimant, this instance waits until the lease is over.
+		m.fence = 0
+		return
+	}
+	m.fence, m.last = r.Record.fence(), r.Record.fence()
+	for n, a := range m.attempts {
+		if a.record.Count == r.Record.Count {
+			m.until = max(m.until, after(a.at, m.rules.Hold))
+			m.renewAt = after(a.at, m.rules.Renew)
+			m.attempts = m.attempts[n+1:]
+			break
+		}
+	}
+}
+
+func (m *machine) noteOther(now rwtime.BootTime, name string, fence int64) {
+	if name == "" || name == m.self {
+		return
+	}
+	m.other, m.fenceOf = name, fence
+	if m.otherAt == 0 {
+		m.otherAt = now
+	}
+}
+
+// heard records an announcement. One that is older than what is known changes nothing.
+func (m *machine) heard(now rwtime.BootTime, a Announcement) {
+	if a.Holder == m.self || a.Fence <= 0 || a.Fence > maxFence || a.Revision <= 0 {
+		return
+	}
+	if a.Fence <= m.last || a.position().Before(m.position) {
+		return
+	}
+	m.highest = max(m.highest, a.Fence)
+	m.noteOther(now, a.Holder, a.Fence)
+	if m.fence != 0 {
+		// By the lease another holder can't be yet: look before anything else is called.
+		m.until, m.unsure = min(m.until, now), true
+		return
+	}
+	if m.positionAt == 0 || m.position.Before(a.position()) {
+		m.observe(now, a.position())
+		m.free = a.Free
+		m.failures, m.pausedTo = 0, 0
+	}
+}
+
+// refuse records that a call with an own number was refused as outdated.
+func (m *machine) refuse(fence int64) {
+	if fence <= m.refused || fence > m.last {
+		return
+	}
+	m.refused = fence
+	if m.fence != 0 && m.fence <= fence {
+		m.unsure = true
+	}
+}
+
+// announcement returns what the holder tells the others, if this instance is the holder or
+// has just given the lease up.
+func (m *machine) announcement() (Announcement, bool) {
+	if m.reading == nil || m.reading.Record.Life != m.life || m.reading.Record.Holder != m.self || !m.reading.Exists() {
+		return Announcement{}, false
+	}
+	r := m.reading.Record
+	return Announcement{Holder: r.Holder, Fence: r.Fence, Era: m.position.Era, Revision: m.position.Revision, Free: r.Free}, true
+}
+
+// holder returns the holder as last heard of or known.
+func (m *machine) holder() (name string, fence int64, ok bool) {
+	if m.fence != 0 {
+		return m.self, m.fence, true
+	}
+	return m.other, m.fenceOf, m.other != "" && !m.free
+}
--- /dev/null
+++ b/internal/rwentry/duties.go
@@ -0,0 +1,88 @@
+package rwentry
+
+import (
+	"context"
+	"time"
+
+	"ragwortwall/internal/rwduty"
+)
+
+// handOverTimeout bounds how long a stopping instance waits for its calls under the lease to
+// end and for the store to take the lease back. The lease ends by itself after that.
+const handOverTimeout = 2 * time.Second
+
+// Cloud carries out the duties. Its errors are of rwerror.KindConflict if a call was refused as
+// outdated: see rwduty.Lease.Call.
+type Cloud interface {
+	ReportUsage(ctx context.Context, g rwduty.Grant, window int64, counts map[string]int64) error
+	OrderServers(ctx context.Context, g rwduty.Grant, service, zone string, count int) error
+}
+
+// duties carries out what one instance does at a time, if the deployment has such duties.
+type duties struct {
+	instance *Instance
+	lease    rwduty.Lease
+}
+
+// build sets up the lease. Without duties it isn't used.
+func (d *duties) build(i *Instance) {
+	d.instance = i
+	d.lease.Self, d.lease.Rules = i.Settings.Name, rwduty.NewRules(i.Settings.Duties.LeaseBound)
+	d.lease.Store, d.lease.Announcer, d.lease.Rank = i.Stores.Duties, &i.exchange, i.members.DutyRank
+	d.lease.Eligible, d.lease.Count, d.lease.Log = d.eligible, i.counters.Increment, i.Log
+	if d.wanted() {
+		i.exchange.HeardDuty = d.lease.Heard
+	}
+}
+
+// wanted reports whether this instance takes part in duties.
+func (d *duties) wanted() bool {
+	return d.instance.Settings.Duties.Any() && d.instance.Stores.Duties != nil && d.instance.Cloud != nil
+}
+
+// eligible reports whether this instance may claim the lease: it serves callers, so that it is
+// no longer starting and not stopping, knows the other instances and isn't cut off from the
+// store, as far as it watches that.
+func (d *duties) eligible() bool {
+	feeds := &d.instance.feeds
+	_, known := feeds.members.Age()
+	cutOff := feeds.isWatcher() && feeds.stateWatcher.Failing()
+	return known && d.instance.ready() && !cutOff
+}
+
+// loops returns what runs in the background. Parts that carry out duties add their loops here.
+func (d *duties) loops() []func(context.Context) {
+	if !d.wanted() {
+		return nil
+	}
+	return []func(context.Context){d.lease.Run}
+}
+
+// release hands the lease over when the instance stops, before it drains.
+func (d *duties) release() {
+	if !d.wanted() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	d.lease.Release(ctx)
+}
+
+// DutyDump is the state of the duties in a StateDump.
+type DutyDump struct {
+	Holder string  `json:"holder"` // as last heard of or known; empty if none is
+	Fence  int64   `json:"fence"`  // its fencing number
+	Own    bool    `json:"own"`    // this instance may call now
+	Rank   int     `json:"rank"`   // number of claimants that go before this instance
+	Bound  float64 `json:"bound"`  // seconds within which two holders must not take turns
+}
+
+// dump returns the state of the duties, nil without any.
+func (d *duties) dump() *DutyDump {
+	if !d.wanted() {
+		return nil
+	}
+	name, fence, _ := d.lease.Holder()
+	_, own := d.lease.Current()
+	return &DutyDump{Holder: name, Fence: fence, Own: own, Rank: d.instance.members.DutyRank(name), Bound: d.instance.Settings.Duties.LeaseBound.Seconds()}
+}
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -12,6 +12,7 @@
 
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwconn"
+	"ragwortwall/internal/rwduty"
 	"ragwortwall/internal/rwfeed"
 	"ragwortwall/internal/rwforward"
 	"ragwortwall/internal/rwlimit"
@@ -50,6 +51,7 @@
 	Moves   MoveStore
 
 	Quarantines QuarantineStore
+	Duties      rwduty.Store // nil if this instance has none
 
 	Era *rwfeed.Era // of the store; what was written in an older one may be gone
 }
@@ -76,6 +78,7 @@
 	DecodeMove   func(c rwfeed.Change) (rwversion.Move, error)
 	Wire         rwforward.HeaderCodec
 	Engines      rwforward.EngineClient
+	Cloud        Cloud          // carries out the duties; nil if this instance has none
 	Dialer       *rwpath.Dialer // connects to the backend servers
 	Log          logr.Logger
 
@@ -90,6 +93,7 @@
 	limits    rwlimit.Limiter
 	moves     moves
 	suspects  quarantines
+	duties    duties
 	members   rwpeer.Members
 	exchange  rwpeer.Exchange
 	leaving   atomic.Bool
@@ -115,6 +119,7 @@
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
+	i.duties.build(i)
 	i.relay = i.buildPaths()
 	ending, endRequests := context.WithCancel(context.Background())
 	defer endRequests()
@@ -130,7 +135,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(i.feeds.loops(), i.expire, i.listenMetrics(), i.moves.run, i.moves.watchCapacity, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
+	for _, run := range append(append(i.feeds.loops(), i.duties.loops()...), i.expire, i.listenMetrics(), i.moves.run, i.moves.watchCapacity, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx, endRequests)
@@ -340,6 +345,7 @@
 	i.graceEnd.Store(&graceEnd)
 	i.leaving.Store(true)
 	i.Log.Info("stopping", "instance", i.Settings.Name)
+	go i.duties.release()
 	time.Sleep(min(drainDelay, gracePeriod/2))
 	i.drained.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), gracePeriod-time.Since(start))
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ragwortwall/internal/rwbackend"
+	"ragwortwall/internal/rwduty"
 	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpoison"
@@ -45,6 +46,8 @@
 	Ask    *SuspicionRequest `json:"ask,omitempty"`    // the sender asks for suspicions
 	Answer *SuspicionAnswer  `json:"answer,omitempty"` // Suspicions answer a request
 
+	Duty *rwduty.Announcement `json:"duty,omitempty"` // the sender holds the lease of the duties, or has given it up
+
 	encoded []byte // for a notice to forward, with what this build doesn't know
 }
 
@@ -76,6 +79,8 @@
 	Moves       *rwversion.Moves
 	Log         logr.Logger
 
+	HeardDuty func(a rwduty.Announcement) // gets the announcements of who holds the duties; nil to ignore them
+
 	mu           sync.Mutex
 	conn         *net.UDPConn
 	ownRuns      map[string]rwbackend.Run // current runs by id, sent to instances that start
@@ -197,6 +202,7 @@
 	}
 	x.mergeParts(n)
 	x.handleLimits(n)
+	x.handleDuty(n)
 	x.handleStart(n)
 }
 
