--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -45,13 +45,16 @@
 	prefillRate   float64                    // average, in prompt tokens per second
 	tokenInterval float64                    // average, in seconds
 	eventTokens   float64                    // average
+
+	demand         map[string]Demand // by service
+	prefillSamples []float64         // latest measured prefill rates, in prompt tokens per second
 }
 
 // NewDirectory returns an empty directory for the instance with the given name.
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
+		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, demand: map[string]Demand{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
 	}
 }
 
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -300,6 +300,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.keepPrefillLocked(float64(tokens) / took.Seconds())
 	rate := min(4*d.prefillRate, max(d.prefillRate/4, float64(tokens)/took.Seconds()))
 	d.prefillRate += averageSampleWeight / 2 * (rate - d.prefillRate)
 }
--- a/internal/rwbackend/runs.go
+++ b/internal/rwbackend/runs.go
@@ -28,6 +28,9 @@
 		r.endedAt = now
 	}
 	run := &r
+	if !known {
+		d.countDemandLocked(run)
+	}
 	d.runs[r.ID] = run
 	if r.Part != "" {
 		d.parts[r.Part] = run
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -80,6 +80,7 @@
 	conn         *net.UDPConn
 	ownRuns      map[string]rwbackend.Run // current runs by id, sent to instances that start
 	incarnations map[string]int64         // newest known of each instance
+	heardAt      map[string]time.Time     // when each instance's last notice came
 	pendingRuns  []rwbackend.Run          // to be sent with the next notices
 	pendingLost  []string                 // to be sent with the next notices
 
@@ -165,6 +166,7 @@
 	x.mu.Lock()
 	if x.incarnations == nil {
 		x.incarnations = map[string]int64{}
+		x.heardAt = map[string]time.Time{}
 	}
 	earlier := x.incarnations[n.From]
 	if n.Incarnation < earlier {
@@ -172,6 +174,7 @@
 		return // sent before the instance restarted
 	}
 	x.incarnations[n.From] = n.Incarnation
+	x.heardAt[n.From] = time.Now()
 	x.mu.Unlock()
 	if earlier != 0 && n.Incarnation != earlier {
 		x.Directory.EndRunsOf(n.From)
@@ -347,3 +350,17 @@
 		transmit(address, content)
 	}
 }
+
+// HeardWithin returns how many other instances have sent this one a notice within a time. Those
+// that have nothing to tell send none.
+func (x *Exchange) HeardWithin(d time.Duration) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	heard, now := 0, time.Now()
+	for _, at := range x.heardAt {
+		if now.Sub(at) <= d {
+			heard++
+		}
+	}
+	return heard
+}
--- a/internal/rwroute/table.go
+++ b/internal/rwroute/table.go
@@ -185,6 +185,33 @@
 	return s, ok
 }
 
+// OrderedServices returns the services whose number of servers may be ordered, by name.
+func (t *Table) OrderedServices() []Service {
+	var ordered []Service
+	for _, s := range t.servicesByName {
+		if s.Scale.Ordered() {
+			ordered = append(ordered, s)
+		}
+	}
+	slices.SortFunc(ordered, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	return ordered
+}
+
+// TargetLatency returns the shortest target latency of the routes that send requests to a
+// service; zero if none names one.
+func (t *Table) TargetLatency(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			uses := slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Service == service && target.Weight > 0 })
+			if uses && r.TargetLatency > 0 && (shortest == 0 || r.TargetLatency < shortest) {
+				shortest = r.TargetLatency
+			}
+		}
+	}
+	return shortest
+}
+
 // Provides reports whether a server with the given models must belong to the service:
 // the service offers all of the models, and no other service offers any of them. It
 // returns false for an empty list of models.
