--- a/internal/rwscale/orderer.go
+++ b/internal/rwscale/orderer.go
@@ -25,8 +25,9 @@
 type Lease interface {
 	// Current returns the grant in force, and false while this instance doesn't hold the duty.
 	Current() (rwduty.Grant, bool)
-	// Refused tells that the platform refused a call because of its fencing number.
-	Refused(g rwduty.Grant)
+	// Call makes a call under the grant in force. Its context ends before the grant does. An error
+	// of KindConflict ends the grant. Without a grant it returns one of KindUnavailable.
+	Call(ctx context.Context, do func(ctx context.Context, g rwduty.Grant) error) error
 }
 
 // Platform carries out orders.
@@ -155,7 +156,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o.Count("servers_ordered")
-	err := o.Platform.OrderServers(callCtx, grant, service, w.Zone, w.Count)
+	err := o.Lease.Call(callCtx, func(ctx context.Context, g rwduty.Grant) error {
+		return o.Platform.OrderServers(ctx, g, service, w.Zone, w.Count)
+	})
 	o.Log.Info("servers ordered", "service", service, "zone", w.Zone, "count", w.Count, "listed", w.Before, "reason", plan.Reason, "fence", grant.Fence, "cause", causeOf(err))
 	if err == nil {
 		s.orders.Sent(w, now)
@@ -164,8 +167,7 @@
 	}
 	o.Count("servers_ordered_failed")
 	if rwerror.Is(err, rwerror.KindConflict) {
-		o.Lease.Refused(grant)
-		return false
+		return false // the lease has ended this grant
 	}
 	if rwerror.As(err).Ran != rwerror.RanNo {
 		s.orders.Sent(w, now)
--- a/internal/rwscale/scale_test.go
+++ b/internal/rwscale/scale_test.go
@@ -135,9 +135,14 @@
 	return rwduty.Grant{Holder: "i", Fence: w.fence}, w.holder
 }
 
-func (w *world) Refused(rwduty.Grant) {
-	w.refused++
-	w.holder = false
+func (w *world) Call(ctx context.Context, do func(context.Context, rwduty.Grant) error) error {
+	g, _ := w.Current()
+	err := do(ctx, g)
+	if rwerror.Is(err, rwerror.KindConflict) {
+		w.refused++
+		w.holder = false
+	}
+	return err
 }
 
 func (w *world) OrderServers(_ context.Context, _ rwduty.Grant, _, zone string, count int) error {
