--- a/internal/rwbackend/demand.go
+++ b/internal/rwbackend/demand.go
@@ -45,9 +45,8 @@
 const (
 	// maxPrefillSamples is how many samples of the prefill rate are kept.
 	maxPrefillSamples = 31
-	// minPrefillSamples is how many samples make the prefill rate known. Some are low, as the
-	// server had prompts of which this instance had not heard yet.
-	minPrefillSamples = 3
+	// minPrefillSamples is how many samples make the prefill rate known.
+	minPrefillSamples = 2
 )
 
 // keepPrefillLocked keeps a sample of the prefill rate, in prompt tokens per second.
@@ -58,9 +57,10 @@
 	}
 }
 
-// MeasuredPrefillRate returns the median of the prefill rates that this instance has measured
-// last, in prompt tokens per second, and false while it has measured too few. Unlike PrefillRate
-// it doesn't start from an assumed rate.
+// MeasuredPrefillRate returns the upper quartile of the prefill rates that this instance has
+// measured last, in prompt tokens per second, and false while it has measured too few. Prompts
+// of which this instance had not heard yet only make samples lower. Unlike PrefillRate it doesn't
+// start from an assumed rate.
 func (d *Directory) MeasuredPrefillRate() (float64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -68,5 +68,5 @@
 		return 0, false
 	}
 	sorted := slices.Sorted(slices.Values(d.prefillSamples))
-	return sorted[len(sorted)/2], true
+	return sorted[len(sorted)*3/4], true
 }
--- a/internal/rwscale/plan.go
+++ b/internal/rwscale/plan.go
@@ -88,8 +88,8 @@
 	// averaged is how many samples one figure of demand is averaged over. Callers come at random:
 	// the demand of one second of 30 streams is off by a fifth.
 	averaged = 3
-	// headroom is how much more than the peak of demand is ordered for. Demand has to differ by
-	// this much to cause an order.
+	// headroom is by how much what servers are ordered for exceeds what calls for more of them.
+	// Demand has to differ by this much to cause an order.
 	headroom = 1.12
 	// maxStep is the part of a zone's servers that is given up at once.
 	maxStep = 0.25
@@ -100,9 +100,9 @@
 	rampTime = 4 * time.Second
 	// maxRamp bounds by how much memory is taken to follow a jump of demand.
 	maxRamp = 2
-	// maxListAge is how old the list of servers may be, a few times what an instance that
-	// follows another one bears.
-	maxListAge = 3 * time.Second
+	// maxListAge is how old the list of servers may be: twice what it is at an instance that
+	// follows a watcher, whose waiting calls last some seconds.
+	maxListAge = 7 * time.Second
 	// maxSampleAge is how old the newest sample may be, and how far apart two may be.
 	maxSampleAge = 3 * time.Second
 	// minHeard is the part of the other instances that must be heard from before servers are
@@ -162,10 +162,10 @@
 
 // grow returns orders for more servers if those in place don't carry the load.
 func (s Situation) grow(load Load) (Plan, bool) {
-	if sizeFor(load, s.Server).fits(s.inPlace()) {
+	if sizeFor(load.pressing(), s.Server).fits(s.inPlace()) {
 		return Plan{}, false
 	}
-	need := s.wanted(s.ramped(load).times(headroom))
+	need := s.wanted(s.ramped(load).rising())
 	p := Plan{Load: load, Need: need, Reason: ReasonGrow}
 	for _, z := range s.Zones {
 		if need > s.least(z) {
@@ -227,7 +227,7 @@
 // shrink returns orders for fewer servers if the peak of the load has been lower for long enough
 // and nothing else is under way.
 func (s Situation) shrink(recent Load) Plan {
-	p := Plan{Load: recent, Need: s.wanted(recent.times(headroom))}
+	p := Plan{Load: recent, Need: s.wanted(recent.rising())}
 	if p.Reason = s.obstacle(); p.Reason != "" {
 		return p
 	}
@@ -239,7 +239,7 @@
 	// What the instances that are not heard place is taken as what the others do.
 	unheard := float64(s.Known+1) / float64(max(1, min(s.Heard, s.Known)+1))
 	p.Load = peak.times(unheard)
-	p.Need = s.wanted(p.Load.times(headroom))
+	p.Need = s.wanted(p.Load.rising())
 	left := s.inPlace()
 	for i, z := range s.Zones {
 		count := max(p.Need, z.Listed-int(maxStep*float64(z.Listed)))
@@ -252,7 +252,7 @@
 	switch {
 	case len(p.Orders) == 0:
 		p.Reason = ReasonKeep
-	case !sizeFor(p.Load.times(headroom), s.Server).fits(left):
+	case !sizeFor(p.Load.rising(), s.Server).fits(left):
 		p.Orders, p.Reason = nil, ReasonUneven
 	default:
 		p.Reason = ReasonShrink
--- a/internal/rwscale/size.go
+++ b/internal/rwscale/size.go
@@ -27,6 +27,21 @@
 	return l
 }
 
+// rising returns what servers are wanted for: headroom for prefill, which a burst takes at once.
+// Memory follows within the time that streams last, and its peak has more than one zone's room.
+func (l Load) rising() Load {
+	l.Tokens *= headroom
+	return l
+}
+
+// pressing returns what calls for more servers at once.
+func (l Load) pressing() Load {
+	tokens := l.Tokens
+	l = l.times(1 / headroom)
+	l.Tokens = tokens
+	return l
+}
+
 // times returns the load with all that grows with the number of callers multiplied.
 func (l Load) times(factor float64) Load {
 	l.Tokens *= factor
@@ -51,19 +66,19 @@
 // utilisation returns how busy prefill may keep the servers so that the first event comes within
 // the target latency. It takes the better of two servers for each stream, as instances at least
 // do: the share of servers with m or more prompts is then the utilisation to the power of
-// 2^m - 1, where m prompts of the usual length fill the target latency.
+// 2^m - 1, where m prompts of the usual length, the last one partly read, fill the target latency.
 func utilisation(load Load, server Server) float64 {
 	if load.Target <= 0 || load.Prompt <= 0 {
 		return (minUtilisation + maxUtilisation) / 2
 	}
-	prompts := math.Floor(load.Target.Seconds() * server.Prefill / load.Prompt)
+	prompts := load.Target.Seconds() * server.Prefill / load.Prompt
 	u := math.Pow(missedShare, 1/(math.Exp2(max(1, min(prompts, 16)))-1))
 	return max(minUtilisation, min(maxUtilisation, u))
 }
 
 // size is how many servers carry a load.
 type size struct {
-	whole    int // with all zones, so that the first events come in time
+	whole    int // with all zones, so that first events come in time and all streams and copies have room
 	degraded int // with a zone lost, so that prefill keeps up and all streams and copies have room
 }
 
@@ -73,7 +88,7 @@
 	memory := float64(load.Held) / (maxFill * float64(max(1, server.Memory)))
 	slots := float64(load.Streams) / (maxFill * float64(max(1, server.Slots)))
 	return size{
-		whole:    int(math.Ceil(prefill / utilisation(load, server))),
+		whole:    int(math.Ceil(max(prefill/utilisation(load, server), memory, slots))),
 		degraded: int(math.Ceil(max(prefill, memory, slots))),
 	}
 }
