rwbackend: runs that ended tell how fast their prompt was read

Change: the notice of a run's end has the measured rate; every instance keeps the last 31 of the fleet.

--- a/internal/rwbackend/demand.go
+++ b/internal/rwbackend/demand.go
@@ -46,21 +46,25 @@
 	// maxPrefillSamples is how many samples of the prefill rate are kept.
 	maxPrefillSamples = 31
 	// minPrefillSamples is how many samples make the prefill rate known.
-	minPrefillSamples = 2
+	minPrefillSamples = 3
 )
 
-// keepPrefillLocked keeps a sample of the prefill rate, in prompt tokens per second.
-func (d *Directory) keepPrefillLocked(rate float64) {
-	d.prefillSamples = append(d.prefillSamples, rate)
+// keepPrefillLocked keeps what a run that ended tells of its server. The runs of all instances
+// do, so that an instance that starts knows the rate within seconds.
+func (d *Directory) keepPrefillLocked(rate int) {
+	if rate <= 0 {
+		return
+	}
+	d.prefillSamples = append(d.prefillSamples, float64(rate))
 	if excess := len(d.prefillSamples) - maxPrefillSamples; excess > 0 {
 		d.prefillSamples = slices.Delete(d.prefillSamples, 0, excess)
 	}
 }
 
-// MeasuredPrefillRate returns the upper quartile of the prefill rates that this instance has
-// measured last, in prompt tokens per second, and false while it has measured too few. Prompts
-// of which this instance had not heard yet only make samples lower. Unlike PrefillRate it doesn't
-// start from an assumed rate.
+// MeasuredPrefillRate returns the upper quartile of the prefill rates in the last runs that told
+// one, in prompt tokens per second, and false while they are too few. Prompts of which an instance
+// had not heard yet only make its figures lower. Unlike PrefillRate it doesn't start from an
+// assumed rate.
 func (d *Directory) MeasuredPrefillRate() (float64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/rwbackend/demand_test.go
+++ b/internal/rwbackend/demand_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"ragwortwall/internal/rwbackend"
 
@@ -46,12 +45,23 @@
 	}
 }
 
+// TestMeasuredPrefillRate guards against a rate that a new instance learns only from its own
+// streams, of which it may have one in several seconds.
 func TestMeasuredPrefillRate(t *testing.T) {
 	d := directory("a")
-	d.RecordPrefill(8000, time.Second)
+	tell := func(id string, rate int) {
+		run := rwbackend.Run{ID: id, Owner: "peer", Server: "s0"}
+		d.PutRun(run)
+		run.Ended, run.PrefillRate = true, rate
+		d.PutRun(run)
+		d.PutRun(run)
+	}
+	tell("r1", 8000)
+	tell("r2", 0)
+	tell("r3", 2000)
 	_, known := d.MeasuredPrefillRate()
-	require.False(t, known, "the assumed rate is not a measured one")
-	d.RecordPrefill(8000, 4*time.Second)
+	require.False(t, known, "each run tells its rate once")
+	tell("r4", 8000)
 	rate, known := d.MeasuredPrefillRate()
 	require.True(t, known)
 	require.InDelta(t, 8000, rate, 1, "one server with queued prompts changes nothing")
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -293,16 +293,18 @@
 // prompt, measured on a server that had no other prompts to process. Prompts
 // below 500 tokens are ignored. A sample is limited to between a quarter and four
 // times the average and has a low weight, so that one slow server changes the
-// average little.
-func (d *Directory) RecordPrefill(tokens int, took time.Duration) {
+// average little. It returns the measured rate in prompt tokens per second, or zero if the
+// sample is ignored.
+func (d *Directory) RecordPrefill(tokens int, took time.Duration) int {
 	if tokens < 500 || took <= 0 {
-		return
+		return 0
 	}
+	measured := float64(tokens) / took.Seconds()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.keepPrefillLocked(float64(tokens) / took.Seconds())
-	rate := min(4*d.prefillRate, max(d.prefillRate/4, float64(tokens)/took.Seconds()))
+	rate := min(4*d.prefillRate, max(d.prefillRate/4, measured))
 	d.prefillRate += averageSampleWeight / 2 * (rate - d.prefillRate)
+	return int(measured)
 }
 
 // PrefillRate returns the average prefill rate of a server, in prompt tokens per
--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -26,6 +26,11 @@
 	// attempts that resumed it.
 	Generation string `json:"generation,omitempty"`
 
+	// PrefillRate is set when a run has ended: how fast its server read the prompt, in prompt tokens
+	// per second, if it had no other prompts to read. Zero if unknown, as in runs of builds that don't
+	// send it.
+	PrefillRate int `json:"rate,omitempty"`
+
 	placedAt     time.Time
 	endedAt      time.Time
 	ownerStopped bool // the run ended with its owner, which may not have told that it started
--- a/internal/rwbackend/runs.go
+++ b/internal/rwbackend/runs.go
@@ -26,6 +26,7 @@
 	}
 	if r.Ended {
 		r.endedAt = now
+		d.keepPrefillLocked(r.PrefillRate)
 	}
 	run := &r
 	if !known {
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -249,7 +249,7 @@
 	s.f.Directory.RecordFirstEvent(target.server.ID)
 	s.recordVersionOutcome(target.server, false, took)
 	if target.server.Backlog == 0 && target.kvSource == "" && !s.info.Resumed {
-		s.f.Directory.RecordPrefill(target.prefillTokens, took)
+		s.prefillRate = s.f.Directory.RecordPrefill(target.prefillTokens, took)
 	}
 }
 
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -29,6 +29,7 @@
 	firstEventAt   time.Time          // zero before the first event
 	lastEventAt    time.Time          // zero before the first event
 	longestPause   time.Duration      // between two events, across servers
+	prefillRate    int                // see rwbackend.Run.PrefillRate
 	lastErr        error              // error of the latest failed attempt
 	promptHolders  []string           // ids of the servers that have the prompt cached: that of the previous run, or what HolderFinder found
 	endRejected    bool               // a server's end of the resumed stream was rejected, see rejectEnd
@@ -322,7 +323,7 @@
 	if s.run.ID == "" || s.run.ID != s.info.ID {
 		return
 	}
-	s.run.Ended = true
+	s.run.Ended, s.run.PrefillRate = true, s.prefillRate
 	s.copies.stop(s)
 	s.f.NotifyRun(s.run)
 }
