--- a/internal/rwscale/scale_test.go
+++ b/internal/rwscale/scale_test.go
@@ -352,7 +352,6 @@
 		w.play(4)
 		require.GreaterOrEqual(t, len(w.calls), 3, "demand needs them whatever drains")
 		require.LessOrEqual(t, len(w.calls), 6)
-
 	})
 	t.Run("servers of two versions", func(t *testing.T) {
 		w := newWorld(t, 20)
