rwscale: servers are given up only if the rest carries 1.5 times the peak with a zone lost

Ordered servers serve after 8 s, bursts are shorter. Change: what is left carries a burst; more is ordered as before. Result: in the tests' world no second is overloaded with a zone lost in a jump of 1.4.

--- a/internal/rwscale/plan.go
+++ b/internal/rwscale/plan.go
@@ -91,6 +91,10 @@
 	// headroom is by how much what servers are ordered for exceeds what calls for more of them.
 	// Demand has to differ by this much to cause an order.
 	headroom = 1.12
+	// surge is by how much demand may rise before servers that are ordered then could serve. What
+	// is left when servers are given up carries it, also with a zone lost: one that is lost is
+	// often what makes callers come at once.
+	surge = 1.5
 	// maxStep is the part of a zone's servers that is given up at once.
 	maxStep = 0.25
 	// minStep is the part below which giving up servers isn't worth their streams' moves.
@@ -227,7 +231,7 @@
 // shrink returns orders for fewer servers if the peak of the load has been lower for long enough
 // and nothing else is under way.
 func (s Situation) shrink(recent Load) Plan {
-	p := Plan{Load: recent, Need: s.wanted(recent.rising())}
+	p := Plan{Load: recent, Need: s.wanted(recent.surging())}
 	if p.Reason = s.obstacle(); p.Reason != "" {
 		return p
 	}
@@ -239,7 +243,7 @@
 	// What the instances that are not heard place is taken as what the others do.
 	unheard := float64(s.Known+1) / float64(max(1, min(s.Heard, s.Known)+1))
 	p.Load = peak.times(unheard)
-	p.Need = s.wanted(p.Load.rising())
+	p.Need = s.wanted(p.Load.surging())
 	left := s.inPlace()
 	for i, z := range s.Zones {
 		count := max(p.Need, z.Listed-int(maxStep*float64(z.Listed)))
@@ -252,7 +256,7 @@
 	switch {
 	case len(p.Orders) == 0:
 		p.Reason = ReasonKeep
-	case !sizeFor(p.Load.rising(), s.Server).fits(left):
+	case !sizeFor(p.Load.surging(), s.Server).fits(left):
 		p.Orders, p.Reason = nil, ReasonUneven
 	default:
 		p.Reason = ReasonShrink
--- a/internal/rwscale/size.go
+++ b/internal/rwscale/size.go
@@ -27,13 +27,15 @@
 	return l
 }
 
-// rising returns what servers are wanted for: headroom for prefill, which a burst takes at once.
-// Memory follows within the time that streams last, and its peak has more than one zone's room.
+// rising returns what more servers are ordered for.
 func (l Load) rising() Load {
 	l.Tokens *= headroom
 	return l
 }
 
+// surging returns what the servers that stay must carry when others are given up.
+func (l Load) surging() Load { return l.times(surge) }
+
 // pressing returns what calls for more servers at once.
 func (l Load) pressing() Load {
 	tokens := l.Tokens
