--- a/internal/rwbackend/runs.go
+++ b/internal/rwbackend/runs.go
@@ -26,8 +26,12 @@
 	}
 	if r.Ended {
 		r.endedAt = now
+		d.keepPrefillLocked(r.PrefillRate)
 	}
 	run := &r
+	if !known {
+		d.countDemandLocked(run)
+	}
 	d.runs[r.ID] = run
 	if r.Part != "" {
 		d.parts[r.Part] = run
