--- a/internal/rwentry/duties.go
+++ b/internal/rwentry/duties.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ragwortwall/internal/rwduty"
+	"ragwortwall/internal/rwscale"
+	"ragwortwall/internal/rwversion"
 )
 
 // handOverTimeout bounds how long a stopping instance waits for its calls under the lease to
@@ -22,6 +25,8 @@
 type duties struct {
 	instance *Instance
 	lease    rwduty.Lease
+	demand   rwscale.Collector // sampled by all instances, so that each can take the duty over
+	servers  rwscale.Orderer
 }
 
 // build sets up the lease. Without duties it isn't used.
@@ -33,6 +38,21 @@
 	if d.wanted() {
 		i.exchange.HeardDuty = d.lease.Heard
 	}
+	table := i.feeds.desiredState.Table
+	d.demand.Source, d.demand.Table = i.directory, table
+	d.servers.Collector, d.servers.Table, d.servers.Lease, d.servers.Platform = &d.demand, table, &d.lease, i.Cloud
+	d.servers.ListAge, d.servers.Moving, d.servers.Heard = i.feeds.servers.Age, d.moving, d.heard
+	d.servers.Count, d.servers.Log = i.counters.Increment, i.Log
+}
+
+// moving reports whether a version move of a service runs.
+func (d *duties) moving(service string) bool {
+	return slices.ContainsFunc(d.instance.moves.tracker.Running(), func(m rwversion.Move) bool { return m.Service == service })
+}
+
+// heard returns how many other instances were heard from lately, and how many are listed.
+func (d *duties) heard() (heard, known int) {
+	return d.instance.exchange.HeardWithin(rwscale.HeardWithin), d.instance.members.Count() - 1
 }
 
 // wanted reports whether this instance takes part in duties.
@@ -55,7 +75,11 @@
 	if !d.wanted() {
 		return nil
 	}
-	return []func(context.Context){d.lease.Run}
+	loops := []func(context.Context){d.lease.Run}
+	if d.instance.Settings.Duties.Scale {
+		loops = append(loops, d.demand.Run, d.servers.Run)
+	}
+	return loops
 }
 
 // release hands the lease over when the instance stops, before it drains.
@@ -75,6 +99,8 @@
 	Own    bool    `json:"own"`    // this instance may call now
 	Rank   int     `json:"rank"`   // number of claimants that go before this instance
 	Bound  float64 `json:"bound"`  // seconds within which two holders must not take turns
+
+	Services []rwscale.ServiceDump `json:"services,omitempty"` // whose servers it orders
 }
 
 // dump returns the state of the duties, nil without any.
@@ -84,5 +110,5 @@
 	}
 	name, fence, _ := d.lease.Holder()
 	_, own := d.lease.Current()
-	return &DutyDump{Holder: name, Fence: fence, Own: own, Rank: d.instance.members.DutyRank(name), Bound: d.instance.Settings.Duties.LeaseBound.Seconds()}
+	return &DutyDump{Holder: name, Fence: fence, Own: own, Rank: d.instance.members.DutyRank(name), Bound: d.instance.Settings.Duties.LeaseBound.Seconds(), Services: d.servers.Dump()}
 }
