--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -81,6 +81,7 @@
 	Parts            *rwpart.Registry
 	NotifyParts      PartNotifier
 	Limits           *rwlimit.Limiter
+	Usage            UsageCounter                 // nil to count none
 	ShuttingDown     func() bool                  // reports whether this instance is shutting down
 	GraceLeft        func() (time.Duration, bool) // returns the time until requests are ended, while this instance is shutting down; nil for never
 	Drained          func() bool                  // reports whether a shutdown has lasted so long that the load balancer sends no more callers here; nil for never
@@ -125,6 +126,7 @@
 	partTrial           int              // attempt that was admitted with a held part
 	lostMu              sync.Mutex
 	lost                rwset.Set[string] // ids of servers that were lost while they ran the request
+	usageCounted        bool              // a server has begun the request, see countBegun
 }
 
 // ServeHTTP handles one request.
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -175,6 +175,7 @@
 	sentAt := time.Now()
 	response, err := c.exchange(conn, server, reused)
 	if errors.Is(err, errSlow) && c.slow == nil && conn.IsWaiting() {
+		c.countBegun(sentAt)
 		c.slow = &slowAttempt{conn: conn, server: server, reused: reused, sentAt: sentAt, release: release}
 		release = func() {}
 		c.logAttempt("server slow, another one is asked", server.ID, err)
@@ -182,6 +183,7 @@
 	}
 	if err != nil {
 		conn.Close()
+		c.countBegun(sentAt) // it may have run
 		if errors.Is(err, errNoRequestID) {
 			delete(c.tried, server.ID) // a new connection to it has no earlier request
 		} else {
@@ -204,6 +206,7 @@
 		c.recordSoundParts(server.Entry)
 	}
 	if !response.reply.NotRun {
+		c.countAnswered(server, sentAt)
 		c.recordVersionOutcome(server, response.status >= http.StatusInternalServerError, took)
 	}
 	return c.classify(response, took)
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -128,6 +128,7 @@
 			return false, s.recordInterruption(target, err)
 		}
 		if !stalls.Begun() {
+			s.countFirstEvent(target)
 			s.recordFirstEvent(target, time.Since(sentAt))
 		}
 		stalls.RecordEvent()
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -13,6 +13,7 @@
 	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpoison"
+	"ragwortwall/internal/rwusage"
 	"ragwortwall/internal/rwversion"
 
 	"github.com/go-logr/logr"
@@ -38,6 +39,9 @@
 	AskHeard   []string          `json:"heard,omitempty"`  // instances that don't answer the sender: who hears from them?
 	Heard      []string          `json:"alive,omitempty"`  // those that the sender hears from
 
+	Usage       *rwusage.Message `json:"usage,omitempty"`       // sums of requests by window and organisation
+	UsageAnswer *rwusage.Answer  `json:"usageanswer,omitempty"` // what the instance that reports usage answers
+
 	Lacks  []int             `json:"lacks,omitempty"`  // in a hello: the parts of the answer that did not arrive; empty for all
 	For    int64             `json:"for,omitempty"`    // incarnation of the instance that is answered
 	Parts  int               `json:"parts,omitempty"`  // in an answer to a hello: of how many parts it consists
@@ -74,6 +78,7 @@
 	Parts       *rwpart.Registry
 	Limits      *rwlimit.Limiter // nil to exchange none
 	Moves       *rwversion.Moves
+	Usage       UsageReceiver // nil if the deployment doesn't report usage
 	Log         logr.Logger
 
 	mu           sync.Mutex
@@ -197,6 +202,7 @@
 	}
 	x.mergeParts(n)
 	x.handleLimits(n)
+	x.handleUsage(n)
 	x.handleStart(n)
 }
 
