--- a/internal/rwentry/duties.go
+++ b/internal/rwentry/duties.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"ragwortwall/internal/rwduty"
+	"ragwortwall/internal/rwforward"
 	"ragwortwall/internal/rwscale"
+	"ragwortwall/internal/rwusage"
 	"ragwortwall/internal/rwversion"
 )
 
@@ -27,6 +29,7 @@
 	lease    rwduty.Lease
 	demand   rwscale.Collector // sampled by all instances, so that each can take the duty over
 	servers  rwscale.Orderer
+	usage    rwusage.Duty
 }
 
 // build sets up the lease. Without duties it isn't used.
@@ -43,6 +46,25 @@
 	d.servers.Collector, d.servers.Table, d.servers.Lease, d.servers.Platform = &d.demand, table, &d.lease, i.Cloud
 	d.servers.ListAge, d.servers.Moving, d.servers.Heard = i.feeds.servers.Age, d.moving, d.heard
 	d.servers.Count, d.servers.Log = i.counters.Increment, i.Log
+	d.usage.Self, d.usage.Life, d.usage.Window, d.usage.Due = i.Settings.Name, i.exchange.Incarnation, i.Settings.Duties.UsageWindow, i.Settings.Duties.UsageDue
+	d.usage.Lease, d.usage.Peers, d.usage.Store, d.usage.Platform = &d.lease, &i.exchange, i.Stores.Usage, i.Cloud
+	d.usage.Count, d.usage.Log = i.counters.Increment, i.Log
+	if d.reportsUsage() {
+		i.exchange.Usage = &d.usage
+	}
+}
+
+// reportsUsage reports whether this instance counts requests for reports of usage.
+func (d *duties) reportsUsage() bool {
+	return d.wanted() && d.instance.Settings.Duties.Usage && d.instance.Stores.Usage != nil
+}
+
+// usageCounter returns what counts requests for reports of usage, nil without them.
+func (d *duties) usageCounter() rwforward.UsageCounter {
+	if !d.reportsUsage() {
+		return nil
+	}
+	return &d.usage
 }
 
 // moving reports whether a version move of a service runs.
@@ -79,6 +101,9 @@
 	if d.instance.Settings.Duties.Scale {
 		loops = append(loops, d.demand.Run, d.servers.Run)
 	}
+	if d.reportsUsage() {
+		loops = append(loops, d.usage.Run)
+	}
 	return loops
 }
 
@@ -92,6 +117,13 @@
 	d.lease.Release(ctx)
 }
 
+// flush sends what was counted last, once the requests have ended.
+func (d *duties) flush() {
+	if d.reportsUsage() {
+		d.usage.Flush()
+	}
+}
+
 // DutyDump is the state of the duties in a StateDump.
 type DutyDump struct {
 	Holder string  `json:"holder"` // as last heard of or known; empty if none is
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -24,6 +24,7 @@
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
+	"ragwortwall/internal/rwusage"
 	"ragwortwall/internal/rwversion"
 
 	"github.com/go-logr/logr"
@@ -51,7 +52,8 @@
 	Moves   MoveStore
 
 	Quarantines QuarantineStore
-	Duties      rwduty.Store // nil if this instance has none
+	Duties      rwduty.Store        // nil if this instance has none
+	Usage       rwusage.WindowStore // the same
 
 	Era *rwfeed.Era // of the store; what was written in an older one may be gone
 }
@@ -128,7 +130,7 @@
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
-		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
+		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, Usage: i.duties.usageCounter(), ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -359,6 +361,7 @@
 		_ = i.callers.Shutdown(answerCtx) // connections that are still open are closed next
 	}
 	i.relay.Wait(ctx)
+	i.duties.flush()
 	_ = callerServer.Close()
 	_ = readyServer.Close()
 	i.Log.Info("stopped", "instance", i.Settings.Name, "took", time.Since(start).Seconds())
