--- a/cmd/rwentry/main_test.go
+++ b/cmd/rwentry/main_test.go
@@ -40,10 +40,22 @@
 // command builds the program and returns the command that runs the instance.
 func (i testInstance) command(t *testing.T) *exec.Cmd {
 	t.Helper()
-	folder := t.TempDir()
-	program, file := filepath.Join(folder, "rwentry"), filepath.Join(folder, "settings.json")
+	return i.commandOf(t, buildProgram(t))
+}
+
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "rwentry")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
+	return program
+}
+
+// commandOf returns the command that runs the instance.
+func (i testInstance) commandOf(t *testing.T, program string) *exec.Cmd {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(file, i.SettingsFile(), 0o600))
 	cmd := exec.Command(program)
 	cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+file)
