rwentry: clients share one account of memory and one of connections

Operators of systems like ours reported processes that clients outside the limits ended.

Cause: nothing bounded the connections of any listener, nor heads (at the ready, metrics and relay addresses a megabyte each, decoded into a hundred), nor messages at the control address (4 MB), nor the time for the rest of a body that no route takes, or for reading a response.

Change: rwaccount holds the account of memory and the listeners' shares of the descriptors. Callers' connections, heads (while they are read), bodies and whole answers draw on it; above it connections that wait longest for their client make room, and heads, bodies and answers are refused as not run.

--- a/internal/rwconn/conns.go
+++ b/internal/rwconn/conns.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwtime"
+
+	"github.com/juju/errors"
 )
 
 // Conns tracks the connections of an http.Server and closes those that are idle. A server
@@ -16,8 +19,13 @@
 // Conns closes a connection only if no byte of a request has been read, and from then on
 // none is. Set MaxIdle, use Track as the server's ConnState and serve the listener that
 // Wrap returns. Requests must not be pipelined, and TLS must be below the wrapped listener.
+//
+// With Max or Memory set, connections that wait for their clients make room for new ones.
 type Conns struct {
 	MaxIdle func() time.Duration // how long a connection may be idle; zero or less for no limit
+	Max     int                  // connections; zero for no limit
+	Memory  *rwaccount.Memory    // what connections and heads are charged to; nil for no limit
+	Count   func(name string)    // counts what was closed or refused; nil for nothing
 
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
@@ -52,18 +60,33 @@
 
 // Accept accepts a connection and tracks it.
 func (l trackedListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &serverConn{Conn: raw, conns: l.conns, idle: true, idleSince: time.Now()}
+		if l.conns.admit(conn) {
+			l.conns.add(conn)
+			return conn, nil
+		}
+		_ = raw.Close()
 	}
-	conn := &serverConn{Conn: raw, idle: true, idleSince: time.Now()}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	if l.conns.conns == nil {
-		l.conns.conns = map[*serverConn]struct{}{}
+}
+
+func (c *Conns) add(conn *serverConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns == nil {
+		c.conns = map[*serverConn]struct{}{}
 	}
-	l.conns.conns[conn] = struct{}{}
-	return conn, nil
+	c.conns[conn] = struct{}{}
+}
+
+func (c *Conns) forget(conn *serverConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns, conn)
 }
 
 // Track records a change of a connection's state.
@@ -84,11 +107,9 @@
 		if closing {
 			tracked.closeIfIdle(func() bool { return true })
 		}
-	case http.StateClosed, http.StateHijacked:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.conns, tracked)
-	case http.StateNew:
+	case http.StateHijacked:
+		c.forget(tracked)
+	case http.StateNew, http.StateClosed:
 	}
 }
 
@@ -142,8 +163,17 @@
 // serverConn is a connection of a server.
 type serverConn struct {
 	net.Conn
+	conns *Conns
+
+	mu            sync.Mutex
+	head          headCost
+	charged       int64     // to the account of memory, in bytes
+	ended         bool      // it is closed, and nothing is charged any more
+	refused       bool      // the request whose head was being read has been refused
+	readingBody   bool      // the server waits for a part of a body
+	writing       time.Time // since when the server waits for the client to read; zero if it doesn't
+	handlingSince time.Time // when the request that is being handled began
 
-	mu        sync.Mutex
 	idle      bool          // no byte of a request has been read since the last response
 	used      bool          // it has carried a request
 	handling  bool          // a request is being handled
@@ -157,24 +187,78 @@
 // Read reads from the connection. Once closeIfIdle has closed it, it returns no more bytes,
 // even if some arrived before.
 func (c *serverConn) Read(p []byte) (int, error) {
+	c.setReadingBody(len(p) > 1)
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
+	refused, err := c.recordRead(p[:n], len(p), err)
+	if refused {
+		c.refuse()
+	}
+	if err != nil && (refused || errors.Is(err, net.ErrClosed)) {
+		return 0, err
+	}
+	return n, err
+}
+
+// setReadingBody notes that the server waits for a part of a body, if a request is being handled.
+// The server watches for the end of the connection by reading single bytes.
+func (c *serverConn) setReadingBody(more bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingBody = c.handling && more
+}
+
+// recordRead records what was read into a buffer of a size. It reports whether the request is to
+// be refused, and returns the error for the reader.
+func (c *serverConn) recordRead(p []byte, size int, err error) (refused bool, _ error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
+	c.readingBody = false
+	if c.closed || c.refused {
+		return false, errRefused
 	}
 	if c.idle {
 		c.idle, c.idleSince, c.headBytes = false, time.Now(), 0
 	}
-	c.headBytes += n
-	if c.handling && len(p) == 1 {
-		// The server watches for the end of the connection by reading single bytes.
+	c.headBytes += len(p)
+	if c.handling && size == 1 {
 		c.earlyByte = true
 	}
-	return n, err
+	if !c.handling || size > 1 {
+		c.head.add(p)
+	}
+	if !c.handling && !c.chargeHeadLocked() {
+		c.refused = true
+		return true, errRefused
+	}
+	return false, err
+}
+
+// Write writes to the connection.
+func (c *serverConn) Write(p []byte) (int, error) {
+	c.setWriting(time.Now())
+	defer c.setWriting(time.Time{})
+	return c.Conn.Write(p)
+}
+
+func (c *serverConn) setWriting(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = since
+}
+
+// Close closes the connection, after a refusal only once its client may have read that.
+func (c *serverConn) Close() error {
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	if refused {
+		time.AfterFunc(closeDelay, func() { _ = c.end() })
+		return nil
+	}
+	return c.end()
 }
 
 // CloseWrite closes the sending side.
@@ -189,6 +273,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.used, c.handling, c.earlyByte = false, true, true, false
+	c.handlingSince, c.head.whole = time.Now(), true
 }
 
 func (c *serverConn) endRequest(maxIdle time.Duration) {
@@ -200,6 +285,7 @@
 	}
 	c.handling, c.idle, c.earlyByte = false, !c.earlyByte, false
 	c.idleSince, c.maxIdle = time.Now(), maxIdle
+	c.releaseHeadLocked()
 }
 
 // stray reports whether all that was read for a while is too short for a request.
--- /dev/null
+++ b/internal/rwconn/crowd.go
@@ -0,0 +1,208 @@
+package rwconn
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"ragwortwall/internal/rwaccount"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// unansweredWait is how long a client may take for the next step of a first request before
+	// its connection goes first when there are too many.
+	unansweredWait = time.Second
+	// crowdBatch is the part of the connections that is closed at once, so that a crowd isn't
+	// searched for each newcomer.
+	crowdBatch = 32
+	// restTimeout is how long the rest of a body is awaited after the handler has returned.
+	restTimeout = 2 * time.Second
+	// readerTimeout is how long a client may take to read what is sent before a handler sets
+	// another limit.
+	readerTimeout = 30 * time.Second
+)
+
+// refusal is the response to a request whose head finds no memory. It has not run.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// errRefused ends the reading of a connection that has been refused. The server must not answer.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
+// waiting returns since when a connection waits for its client, and whether it does. answered is
+// false if no request of it has been handled.
+func (c *serverConn) waiting() (since time.Time, answered, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return time.Time{}, false, false
+	case !c.writing.IsZero():
+		return c.writing, true, true
+	case c.handling && c.readingBody:
+		return c.handlingSince, false, true
+	case c.handling:
+		return time.Time{}, false, false
+	}
+	return c.idleSince, c.used && c.idle, true
+}
+
+// makeRoom closes connections that wait for their clients: first those that have sent no whole
+// request in unansweredWait, then the others, those that have waited longest first. It reports
+// whether it closed any.
+func (c *Conns) makeRoom() bool {
+	type victim struct {
+		conn  *serverConn
+		late  bool
+		since time.Time
+	}
+	var victims []victim
+	for _, conn := range c.all() {
+		if since, answered, ok := conn.waiting(); ok {
+			victims = append(victims, victim{conn, !answered && time.Since(since) > unansweredWait, since})
+		}
+	}
+	slices.SortFunc(victims, func(a, b victim) int {
+		if a.late != b.late {
+			if a.late {
+				return -1
+			}
+			return 1
+		}
+		return a.since.Compare(b.since)
+	})
+	victims = victims[:min(len(victims), c.Max/crowdBatch+1)]
+	for _, v := range victims {
+		v.conn.closeForOthers()
+	}
+	c.count("callers_closed", len(victims))
+	return len(victims) > 0
+}
+
+// admit makes room for a connection. It reports false if there is none.
+func (c *Conns) admit(conn *serverConn) bool {
+	for range 2 {
+		if c.hasRoom() && c.Memory.Reserve(connBytes, rwaccount.SizeUsual) {
+			conn.charged = connBytes
+			return true
+		}
+		if !c.makeRoom() {
+			break
+		}
+	}
+	c.count("callers_refused", 1)
+	return false
+}
+
+func (c *Conns) hasRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Max <= 0 || len(c.conns) < c.Max
+}
+
+func (c *Conns) count(name string, n int) {
+	if n == 0 || c.Count == nil {
+		return
+	}
+	for range n {
+		c.Count(name)
+	}
+}
+
+// closeForOthers closes a connection at once.
+func (c *serverConn) closeForOthers() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	_ = c.end()
+}
+
+// end closes the connection and gives back what it holds.
+func (c *serverConn) end() error {
+	c.mu.Lock()
+	charged := c.charged
+	c.charged, c.ended = 0, true
+	c.mu.Unlock()
+	c.conns.Memory.Release(charged)
+	c.conns.forget(c)
+	return c.Conn.Close()
+}
+
+// chargeHeadLocked charges the connection for the head that has been read. It reports false if
+// there is no memory.
+func (c *serverConn) chargeHeadLocked() bool {
+	if c.ended {
+		return true
+	}
+	cost := c.head.total()
+	more := connBytes + cost - c.charged
+	if more <= 0 {
+		return true
+	}
+	size := rwaccount.SizeUsual
+	if cost > usualHeadBytes {
+		size = rwaccount.SizeLarge
+	}
+	if !c.conns.Memory.Reserve(more, size) {
+		return false
+	}
+	c.charged += more
+	return true
+}
+
+// releaseHeadLocked gives back what was charged for the head before.
+func (c *serverConn) releaseHeadLocked() {
+	c.head.next()
+	if excess := c.charged - connBytes - c.head.total(); excess > 0 && c.charged > 0 {
+		c.charged -= excess
+		c.conns.Memory.Release(excess)
+	}
+}
+
+// refuse answers a request whose head has not been read in full, and closes the connection.
+func (c *serverConn) refuse() {
+	c.conns.count("heads_refused", 1)
+	_ = c.SetWriteDeadline(time.Now().Add(closeDelay))
+	_, _ = io.WriteString(c.Conn, refusal)
+	_ = c.CloseWrite()
+}
+
+// Handler returns a handler that limits how long clients take to send the rest of a body after
+// the response, and to read.
+func (c *Conns) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connection := http.NewResponseController(w)
+		_ = connection.SetWriteDeadline(time.Now().Add(readerTimeout)) // fails only on a closed connection
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &watchedBody{ReadCloser: r.Body}
+		r.Body = body
+		defer func() {
+			if !body.ended && !body.timedOut {
+				_ = connection.SetReadDeadline(time.Now().Add(restTimeout))
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// watchedBody notes how the reading of a body ended.
+type watchedBody struct {
+	io.ReadCloser
+	ended    bool
+	timedOut bool // the handler has limited it already
+}
+
+// Read reads from the body.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	b.timedOut = b.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
+}
--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -128,7 +128,10 @@
 	f.serverList.StoreRecoveredAt, f.serverList.Age = servers.RecoveredAt, f.servers.Age
 	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves, &f.quarantines}
 	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Lost: f.scheduleFallback, Wake: &f.sourceChanged, Log: i.Log}
-	f.peerServer = rwfeed.PeerServer{Address: i.Settings.PeerAddress, Caches: caches, Current: f.stateWatcher.Current, Changed: &f.sourceChanged, Log: i.Log}
+	f.peerServer = rwfeed.PeerServer{
+		Address: i.Settings.PeerAddress, Caches: caches, Current: f.stateWatcher.Current, Changed: &f.sourceChanged, Log: i.Log,
+		MaxConns: i.shares.Peers, CountClosed: func() { i.countCrowd("peers_closed") },
+	}
 }
 
 func (f *feeds) loops() []func(context.Context) {
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -1,6 +1,7 @@
 package rwentry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwconn"
 	"ragwortwall/internal/rwfeed"
@@ -97,12 +99,17 @@
 	relay     *rwpath.Relay
 	graceEnd  atomic.Pointer[time.Time] // when requests are ended; nil while the instance is not shutting down
 	callers   rwconn.Conns
+	memory    *rwaccount.Memory
+	shares    rwaccount.Shares
+	crowded   atomic.Int64 // connections and heads that have found no room since the last log line
 }
 
 // Run serves callers until ctx ends. It then shuts down gracefully and waits for
 // the background loops to end.
 func (i *Instance) Run(ctx context.Context) error {
 	i.limitMemory()
+	i.memory = rwaccount.NewMemory(i.Settings.MemoryLimit)
+	i.shares = rwaccount.NewShares(cmp.Or(i.Settings.Descriptors, rwaccount.ProcessDescriptors()))
 	i.directory = rwbackend.NewDirectory(i.Settings.Name)
 	i.members.Self, i.members.Zone, i.members.Memory, i.members.Log = i.Settings.Name, i.Settings.Zone, i.Settings.MemoryLimit, i.Log
 	i.members.Bootstrap = i.Settings.Bootstrap
@@ -123,7 +130,7 @@
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
-		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
+		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters, Memory: i.memory,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -243,6 +250,9 @@
 		i.poison.Sweep()
 		i.parts.Sweep()
 		i.limits.Sweep(i.isListed)
+		if crowded := i.crowded.Swap(0); crowded > 0 {
+			i.Log.Info("connections closed to make room", "count", crowded, "held", i.memory.Held(), "limit", i.shares.Callers)
+		}
 		if table := i.feeds.desiredState.Table(); table != nil {
 			if closed := i.callers.CloseIdle(); closed > 0 {
 				i.Log.Info("idle connections closed", "count", closed, "limit", table.Limits.IdleTime.Seconds(), "version", table.Version)
@@ -251,6 +261,12 @@
 	})
 }
 
+// countCrowd counts a connection that was closed, or refused, to make room for others.
+func (i *Instance) countCrowd(name string) {
+	i.counters.Increment(name)
+	i.crowded.Add(1)
+}
+
 // isListed reports whether the list of servers has a server's process.
 func (i *Instance) isListed(s rwlimit.Server) bool {
 	e, ok := i.directory.Entry(s.ID)
@@ -281,6 +297,18 @@
 	maxHeaderBytes    = 64 << 10         // above the limits that users may set
 )
 
+// smallServer returns a server for short requests of operators' tools. It counts the connections
+// that it closes for others under a name.
+func (i *Instance) smallServer(handler http.Handler, counter string) *http.Server {
+	const (
+		timeout     = 10 * time.Second
+		idleTimeout = time.Minute
+		headerBytes = 4 << 10
+	)
+	door := &rwaccount.Door{Max: i.shares.Small, Count: func() { i.countCrowd(counter) }}
+	return &http.Server{Handler: handler, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ConnState: door.Track}
+}
+
 // serve serves callers until ctx ends, and shuts down. endRequests ends the requests that run at
 // most once.
 func (i *Instance) serve(ctx context.Context, endRequests func()) error {
@@ -292,14 +320,14 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	i.callers.MaxIdle = i.maxIdle
+	i.callers.MaxIdle, i.callers.Max, i.callers.Memory, i.callers.Count = i.maxIdle, i.shares.Callers, i.memory, i.countCrowd
 	baseCtx, cancelRequests := context.WithCancel(context.Background())
 	defer cancelRequests()
 	callerServer := &http.Server{
-		Handler: i.forwarder, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: i.callers.Track,
+		Handler: i.callers.Handler(i.forwarder), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: i.callers.Track,
 		BaseContext: func(net.Listener) context.Context { return baseCtx },
 	}
-	readyServer := &http.Server{Handler: i.readyHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	readyServer := i.smallServer(i.readyHandler(), "ready_closed")
 	errs := make(chan error, 2)
 	go func() { errs <- callerServer.Serve(i.callers.Wrap(callerListener)) }()
 	go func() { errs <- readyServer.Serve(readyListener) }()
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -50,7 +50,7 @@
 		encoder.SetIndent("", "  ")
 		_ = encoder.Encode(i.dump())
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := i.smallServer(mux, "metrics_closed")
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
--- a/internal/rwentry/paths.go
+++ b/internal/rwentry/paths.go
@@ -41,6 +41,7 @@
 	i.pool.Dial, i.probe.Dial = d.Dial, d.Dial
 	return &rwpath.Relay{
 		Address: i.Settings.DatagramAddress, Dialer: d, Log: i.Log,
+		MaxConns: i.shares.Relayed, MaxRelayed: i.shares.Relayed, CountClosed: func() { i.countCrowd("relay_closed") },
 		Find: func(id string) (rwpath.Server, bool) {
 			e, ok := i.directory.Entry(id)
 			return toServer(e), ok
--- a/internal/rwentry/settings.go
+++ b/internal/rwentry/settings.go
@@ -21,6 +21,7 @@
 	Seeds             []string      // peer addresses of the instances that a new instance follows first
 	StoreAddress      string        // address of the platform's store
 	MemoryLimit       int           // bytes that the process may use; zero for no limit
+	Descriptors       int           // that the process may have open; zero for what the system allows
 	GracePeriod       time.Duration // from the stop signal to the kill
 	SettingsBound     time.Duration // within which acknowledged settings must be in force; zero for no bound
 	RevocationBound   time.Duration // within which a revoked API key must be refused; zero for no bound
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlog"
 	"ragwortwall/internal/rwtime"
@@ -16,7 +17,9 @@
 	"github.com/juju/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 )
 
 // followMethod is the path of the call that returns changes since given revisions.
@@ -57,6 +60,9 @@
 	Changed *Signal     // notified when Current changes; may be nil
 	Log     logr.Logger
 
+	MaxConns    int    // connections of followers; zero for no limit
+	CountClosed func() // called for each connection that is closed for others; nil for nothing
+
 	fullResponses atomic.Int32 // number of responses with all objects that are being sent
 }
 
@@ -67,6 +73,8 @@
 	// would take the link's bandwidth from callers. Other followers get an empty
 	// response and ask another peer.
 	maxFullResponses = 3
+	// maxRequestBytes limits a follower's request, and what is kept of one that isn't whole.
+	maxRequestBytes = 64 << 10
 )
 
 // Run serves followers until ctx ends.
@@ -76,7 +84,9 @@
 		s.Log.Error(err, "cannot listen for followers")
 		return
 	}
-	if err := drpcserver.New(s).Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	bounded := &rwaccount.Listener{Listener: listener, Max: s.MaxConns, Count: s.CountClosed}
+	options := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxRequestBytes}}}
+	if err := drpcserver.NewWithOptions(s, options).Serve(ctx, bounded); err != nil && ctx.Err() == nil {
 		s.Log.Error(err, "stopped serving followers")
 	}
 }
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwevidence"
@@ -87,6 +88,7 @@
 	Ending           context.Context              // done when the grace period is over; nil for never
 	Log              logr.Logger
 	Counters         *Counters
+	Memory           *rwaccount.Memory // what is held for callers is charged to it; nil for no limit
 
 	bufferedBytes atomic.Int64 // of the responses that are held in memory
 	bodyBytes     atomic.Int64 // of the bodies of requests that are held in memory
@@ -138,10 +140,12 @@
 	defer func() {
 		f.bufferedBytes.Add(-c.bufferedBytes)
 		f.bodyBytes.Add(-c.bodyBytes)
+		f.Memory.Release(c.bufferedBytes + c.bodyBytes)
 	}()
 	defer c.logPanic()
 	err := c.resolveRoute()
 	if err == nil {
+		c.limitReader()
 		err = c.fitGracePeriod()
 	}
 	if err == nil {
--- a/internal/rwforward/memory.go
+++ b/internal/rwforward/memory.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
 
@@ -25,6 +26,8 @@
 	smallBodyBytes = 16 << 10
 	// dropTimeout is how long the rest of a refused body is read.
 	dropTimeout = 500 * time.Millisecond
+	// readerTimeout is how long after its deadline a caller may still read the response.
+	readerTimeout = 30 * time.Second
 )
 
 var (
@@ -47,8 +50,14 @@
 // Read reads and fails if too much memory is in use.
 func (b bufferedReader) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	b.call.bufferedBytes += int64(n)
-	if b.call.f.bufferedBytes.Add(int64(n)) > maxBufferedBytes {
+	f, length := b.call.f, int64(n)
+	if !f.Memory.Reserve(length, sizeOf(b.call.bufferedBytes+length)) {
+		f.Counters.increment("answers_refused")
+		return n, errBuffersFull
+	}
+	b.call.bufferedBytes += length
+	if f.bufferedBytes.Add(length) > maxBufferedBytes {
+		f.Counters.increment("answers_refused")
 		return n, errBuffersFull
 	}
 	return n, err
@@ -67,6 +76,9 @@
 	n, err := b.call.r.Body.Read(p)
 	b.read += int64(n)
 	if b.read <= smallBodyBytes {
+		if !b.call.f.Memory.Reserve(int64(n), rwaccount.SizeUsual) {
+			return n, errTooManyBodies
+		}
 		b.call.bodyBytes += int64(n)
 		b.call.f.bodyBytes.Add(int64(n))
 		return n, err
@@ -94,10 +106,29 @@
 			return false
 		}
 		if c.f.bodyBytes.CompareAndSwap(held, held+more) {
-			c.bodyBytes = length
-			return true
+			break
 		}
 	}
+	if !c.f.Memory.Reserve(more, rwaccount.SizeLarge) {
+		c.f.bodyBytes.Add(-more)
+		return false
+	}
+	c.bodyBytes = length
+	return true
+}
+
+// sizeOf returns the size of a reservation for a body or an answer with a length in bytes.
+func sizeOf(length int64) rwaccount.Size {
+	if length > smallBodyBytes {
+		return rwaccount.SizeLarge
+	}
+	return rwaccount.SizeUsual
+}
+
+// limitReader limits how long the caller takes to read the response: one that stops would keep
+// its connection and what is held for it.
+func (c *call) limitReader() {
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(readerTimeout)) // fails only on a closed connection
 }
 
 // readBody reads the whole body into memory, so that it can be sent again and with a
@@ -142,7 +173,9 @@
 	if err := connection.SetReadDeadline(time.Now().Add(dropTimeout)); err != nil {
 		return errors.Trace(err)
 	}
+	c.f.Counters.increment("bodies_refused")
 	c.f.bodyBytes.Add(-c.bodyBytes)
+	c.f.Memory.Release(c.bodyBytes)
 	c.bodyBytes = 0
 	_, _ = io.Copy(io.Discard, c.r.Body) // bounded by the deadline
 	return errTooManyBodies
--- a/internal/rwpath/relay.go
+++ b/internal/rwpath/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwtime"
@@ -47,6 +49,7 @@
 	maxAnswerBytes = 64 << 10
 	// relayHeaderTimeout limits the head of a question to a relay.
 	relayHeaderTimeout = 2 * time.Second
+	relayHeaderBytes   = 4 << 10
 )
 
 // relayKeepAlive ends a relayed connection whose other end has lost power.
@@ -218,6 +221,10 @@
 	Leaving func() bool                    // reports whether this instance is shutting down; nil for never
 	Log     logr.Logger
 
+	MaxConns    int    // connections on which nothing is relayed; zero for no limit
+	MaxRelayed  int    // relayed connections; zero for maxRelayedConns
+	CountClosed func() // called for each connection that is closed for others; nil for nothing
+
 	relayed atomic.Int32
 }
 
@@ -237,7 +244,8 @@
 		r.Log.Error(err, "cannot listen for connections to relay")
 		return
 	}
-	server := &http.Server{Handler: r, ReadHeaderTimeout: relayHeaderTimeout}
+	door := &rwaccount.Door{Max: r.MaxConns, Count: r.CountClosed}
+	server := &http.Server{Handler: r, ReadTimeout: relayHeaderTimeout, MaxHeaderBytes: relayHeaderBytes, ConnState: door.Track}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
@@ -255,7 +263,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	if r.relayed.Add(1) > maxRelayedConns {
+	if int(r.relayed.Add(1)) > cmp.Or(r.MaxRelayed, maxRelayedConns) {
 		r.relayed.Add(-1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
