Urgency of a stream as one value, from the table of the service's routes

The organisation's priority comes before the route's; both orders are told in the ten values. Where all routes of a service have the same priority, what is told is as before. Nothing uses it yet.

--- a/internal/rwroute/table.go
+++ b/internal/rwroute/table.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"ragwortwall/internal/rwurgency"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -120,7 +122,7 @@
 // Organisation is the organisation that a request belongs to.
 type Organisation struct {
 	Name        string
-	Priority    int  // 0 is the highest; overrides the priority of the route
+	Priority    int  // 0 is the highest; comes before the priority of the route, see rwurgency
 	HasPriority bool // Priority is set
 }
 
@@ -132,6 +134,7 @@
 	routesByHost       map[string][]Route // longest prefix first
 	servicesByName     map[string]Service
 	organisationsByKey map[string]Organisation
+	scales             map[string]rwurgency.Scale // by service
 }
 
 // Parts holds the content of a table.
@@ -160,9 +163,46 @@
 	for _, s := range p.Services {
 		t.servicesByName[s.Name] = s
 	}
+	t.scales = scales(p)
 	return t
 }
 
+// scales returns the urgencies that streams can have, by service.
+func scales(p Parts) map[string]rwurgency.Scale {
+	organisations := make([]rwurgency.Priority, 0, len(p.Organisations))
+	for _, o := range p.Organisations {
+		organisations = append(organisations, o.urgency())
+	}
+	routes := map[string][]rwurgency.Route{}
+	for _, r := range p.Routes {
+		if r.Kind != KindStream {
+			continue
+		}
+		for _, t := range r.Targets {
+			routes[t.Service] = append(routes[t.Service], r.urgency())
+		}
+	}
+	byService := make(map[string]rwurgency.Scale, len(routes))
+	for service, priorities := range routes {
+		byService[service] = rwurgency.NewScale(organisations, priorities)
+	}
+	return byService
+}
+
+func (o Organisation) urgency() rwurgency.Priority {
+	return rwurgency.Priority{Value: o.Priority, Set: o.HasPriority}
+}
+
+func (r Route) urgency() rwurgency.Route {
+	return rwurgency.Route{Priority: r.Priority, Target: r.TargetLatency}
+}
+
+// Urgency returns the urgency of a new request of an organisation for a route, at one of the
+// route's services. deadline is the time by which the caller gets a final response.
+func (t *Table) Urgency(o Organisation, r Route, service string, deadline time.Time) rwurgency.Urgency {
+	return t.scales[service].Of(o.urgency(), r.urgency(), deadline)
+}
+
 // Match returns the route for a host whose prefix is the longest match of the path.
 func (t *Table) Match(host, path string) (Route, bool) {
 	for _, r := range t.routesByHost[strings.ToLower(host)] {
