Streams compete by urgency: what servers are told, turns under scarce room, copies

Cause: a route's priority decided nothing, so that the most urgent streams were refused and preempted most often when memory was scarce, and refused callers came back to be refused again. Where the routes of a service differ in priority, a stream waits at its instance for its turn, and less urgent ones go without a copy first.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -245,6 +245,7 @@
 		v.Runs++
 		v.Committed += r.maxTokens()
 		v.Backlog += r.pendingPrefill(now, d.prefillRate)
+		v.ServesSinceLoss = v.ServesSinceLoss || r.placedAt.After(s.lostAt) && r.hasStarted(now, d.prefillRate)
 	}
 	for id, r := range s.copies {
 		if now.Sub(r.placedAt) > runTTL || r.Ended && !r.Lost {
--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -26,6 +26,10 @@
 	// attempts that resumed it.
 	Generation string `json:"generation,omitempty"`
 
+	// Organisation is a short digest of the one that the request belongs to. It is empty in runs
+	// of builds that don't send it, and of services whose streams are equally urgent.
+	Organisation string `json:"group,omitempty"`
+
 	placedAt     time.Time
 	endedAt      time.Time
 	ownerStopped bool // the run ended with its owner, which may not have told that it started
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -65,6 +65,7 @@
 	Latency         time.Duration // moving average; zero if unknown
 	Suspect         bool          // it is in back-off
 	SilentSinceLoss bool          // it was lost and has sent nothing since then
+	ServesSinceLoss bool          // a run of some instance that was placed since then has lasted longer than its prefill
 	Runs            int           // active runs of all instances
 	Committed       int           // KV cache tokens that its runs and copies may take at most
 	Backlog         int           // prompt tokens still to be prefilled
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -123,7 +123,7 @@
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
 		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
-		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
+		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, Instances: i.members.Count, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"ragwortwall/internal/rwadmit"
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwpick"
@@ -71,6 +72,9 @@
 	if held && (!k.requested || now.Sub(k.lastRefresh) < copyRefreshInterval) {
 		return
 	}
+	if !held && s.urgency.Graded() && !s.room(rwadmit.Ceiling{}).AllowsCopy(s.urgency.Rank()) {
+		return
+	}
 	if s.f.Directory.IsPaused(k.runServer) || !s.f.Limits.Take(limitedServer(k.runServer)) || !held && !k.chooseTarget(s) {
 		return
 	}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -21,6 +21,7 @@
 	"ragwortwall/internal/rwretry"
 	"ragwortwall/internal/rwroute"
 	"ragwortwall/internal/rwtime"
+	"ragwortwall/internal/rwurgency"
 	"ragwortwall/internal/rwversion"
 	"ragwortwall/pkg/rwset"
 
@@ -81,6 +82,7 @@
 	Parts            *rwpart.Registry
 	NotifyParts      PartNotifier
 	Limits           *rwlimit.Limiter
+	Instances        func() int                   // returns how many instances share the servers, this one included; nil for 1
 	ShuttingDown     func() bool                  // reports whether this instance is shutting down
 	GraceLeft        func() (time.Duration, bool) // returns the time until requests are ended, while this instance is shutting down; nil for never
 	Drained          func() bool                  // reports whether a shutdown has lasted so long that the load balancer sends no more callers here; nil for never
@@ -91,6 +93,8 @@
 	bufferedBytes atomic.Int64 // of the responses that are held in memory
 	bodyBytes     atomic.Int64 // of the bodies of requests that are held in memory
 
+	turns turns // of streams that wait for room
+
 	partLossMu sync.Mutex
 	partLosses map[*pendingPartLoss]struct{} // counted and not judged yet
 }
@@ -108,6 +112,7 @@
 	body                []byte
 	fingerprint         rwpoison.Fingerprint // set when the body has been read
 	startedAt           time.Time
+	urgency             rwurgency.Urgency
 	deadline            time.Time       // by which the caller gets a final response
 	routeTimeoutApplies bool            // the deadline comes from the route's timeout, not from the caller
 	graceApplies        bool            // the deadline is the end of the grace period
@@ -220,6 +225,7 @@
 		c.deadline = c.startedAt.Add(c.info.Deadline)
 		c.routeTimeoutApplies = false
 	}
+	c.urgency = state.Table.Urgency(c.org, route, name, c.deadline)
 	return nil
 }
 
@@ -326,9 +332,7 @@
 // upstreamInfo returns what is added to the request for a server.
 func (c *call) upstreamInfo(server string) UpstreamInfo {
 	info := UpstreamInfo{Timeout: c.remaining(), Server: server, Organisation: c.org.Name, Cursor: c.info.Cursor, Resumed: c.info.Resumed}
-	if c.org.HasPriority {
-		info.Priority, info.HasPriority = c.org.Priority, true
-	}
+	info.Priority, info.HasPriority = c.urgency.Told()
 	return info
 }
 
--- a/internal/rwforward/limits.go
+++ b/internal/rwforward/limits.go
@@ -65,13 +65,9 @@
 		"none of the %d backend servers of the service can accept the request", servers).WithRetryAfter(longRetryAfter / 2)
 }
 
-// urgency orders the request among those that share a server's limit.
-func (c *call) urgency() rwlimit.Urgency {
-	u := rwlimit.Urgency{Priority: c.route.Priority, Repeat: c.attempts > 0}
-	if c.org.HasPriority {
-		u.Priority = c.org.Priority
-	}
-	return u
+// limitUrgency orders the request among those that share a server's limit.
+func (c *call) limitUrgency() rwlimit.Urgency {
+	return rwlimit.Urgency{Priority: c.urgency.LimitPriority(), Repeat: c.attempts > 0}
 }
 
 // splitByLimit returns the servers that may get a request now and those whose limit leaves
@@ -96,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), min(maxLimitWait, c.remaining()))
 	defer cancel()
 	began := time.Now()
-	key, retryAfter, ok := c.f.Limits.Wait(ctx, keys, c.urgency())
+	key, retryAfter, ok := c.f.Limits.Wait(ctx, keys, c.limitUrgency())
 	if !ok {
 		c.f.Counters.increment("limits_reached")
 		return rwbackend.View{}, retryAfter, false
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -245,6 +245,7 @@
 // recordFirstEvent records and publishes that a server has sent its first event.
 func (s *stream) recordFirstEvent(target attemptTarget, took time.Duration) {
 	s.run.Started = true
+	s.urgency = s.urgency.WithBegun()
 	s.f.NotifyRun(s.run)
 	s.f.Directory.RecordFirstEvent(target.server.ID)
 	s.recordVersionOutcome(target.server, false, took)
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ragwortwall/internal/rwadmit"
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlog"
@@ -38,6 +39,8 @@
 	refusals       int                // attempts that the server did not run
 	refusedLast    bool               // the latest attempt was one of them
 	serverWait     time.Duration      // latest pause of awaitServer; 0 if there was none since the last event
+	ceiling        rwadmit.Ceiling    // up to which servers are loaded by the first attempt; zero for no bounds of its own
+	noRoom         bool               // nextTarget found no server with room
 }
 
 // Causes of an interrupted attempt.
@@ -57,18 +60,23 @@
 	c.f.Budget.Deposit(c.service.Name, retryBudgetRatio)
 	s := &stream{call: c, sequence: rwrelay.NewSequencer(c.info.Cursor, c.info.Resumed), identity: c.identity(), generation: digest(c.info.ID)}
 	defer s.end()
+	if c.info.Resumed {
+		c.urgency = c.urgency.WithBegun()
+	}
 	if c.info.Resumed && !s.findPreviousRun() {
 		s.promptHolders = c.f.Finder.Find(c.r.Context(), c.service.Name, c.info.LastPart)
 		c.f.Log.Info("resumed stream is unknown to all instances", "request", c.info.ID, "holders", s.promptHolders, "cursor", c.info.Cursor, "took", time.Since(c.startedAt).Seconds())
 	}
 	for {
-		target, err := s.awaitTarget()
+		target, err := s.awaitTurn()
 		if c.r.Context().Err() != nil {
 			return s.abortCallerLeft()
 		}
 		if err != nil {
 			return s.abort(err)
 		}
+		s.ceiling = rwadmit.Ceiling{}
+		s.leaveOutCopy(&target)
 		done, err := s.attempt(target)
 		if done {
 			return nil
@@ -177,6 +185,7 @@
 	}
 	servers := s.candidateServers()
 	target, limitWait, ok := s.chooseWithinLimits(servers)
+	s.noRoom = !ok && limitWait == 0 && len(servers) > 0
 	if !ok {
 		if s.lastErr != nil {
 			return attemptTarget{}, s.attemptsExhaustedError()
@@ -227,7 +236,7 @@
 	if placement, ok := rwpick.StreamWithCachedPrompt(servers, engine, need, s.promptHolders, isTried); ok {
 		return attemptTarget{server: placement.Server, placement: placement}, true
 	}
-	placement, ok := rwpick.Stream(servers, engine, need, isTried)
+	placement, ok := rwpick.Stream(s.belowCeiling(servers), engine, need, isTried)
 	return attemptTarget{server: placement.Server, placement: placement, prefillTokens: need.Prefill}, ok
 }
 
@@ -292,7 +301,7 @@
 	s.run = rwbackend.Run{
 		ID: s.info.ID, Owner: s.f.Directory.Self, Server: target.server.ID, Part: s.info.LastPart,
 		Prompt: s.info.Prompt, Output: s.info.MaxOutput, PrefillTokens: target.prefillTokens,
-		Request: s.identity, Generation: s.generation,
+		Request: s.identity, Generation: s.generation, Organisation: s.organisation(),
 	}
 	if target.placement.Copied {
 		s.run.Copy = target.placement.Copy.ID
