--- a/internal/rwadmit/queue.go
+++ b/internal/rwadmit/queue.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwurgency"
 )
 
@@ -13,6 +15,8 @@
 	// they hold together.
 	maxWaiting      = 256
 	maxWaitingBytes = 4 << 20
+	// maxTried bounds how many waiters are looked at in one round.
+	maxTried = 16
 	// minRetryAfter and retryPart bound the time after which a refused caller is to come back: it
 	// isn't long enough to have no time left, with the spread that is added to it.
 	minRetryAfter = time.Second
@@ -45,6 +49,11 @@
 	return min(1, max(0, float64(now.Sub(w.ArrivedAt))/float64(whole)))
 }
 
+// Ceiling returns the load up to which the waiter is added to servers now.
+func (w *Waiter) Ceiling(e Engine, now time.Time) Ceiling {
+	return NewCeiling(e, w.Urgency.Yield(), w.Aged(now), w.Urgency.Shortest())
+}
+
 // Late reports whether the waiter can't meet its target any more.
 func (w *Waiter) Late(now time.Time) bool { return now.After(w.OnTimeUntil) }
 
@@ -139,16 +148,70 @@
 	return !now.Add(wait).After(w.OnTimeUntil)
 }
 
+// Verdict is what becomes of a stream that arrives.
+type Verdict int
+
+// Verdicts.
+const (
+	Goes Verdict = iota
+	Waits
+	IsRefused
+)
+
+// Arrive decides on a stream that arrives, or that found no server in its turn (again), and adds it
+// to the queue if it waits. It also returns the wait to be expected.
+func (q *Queue) Arrive(w *Waiter, room Room, t Traffic, now time.Time, again bool) (Verdict, time.Duration) {
+	urgent := w.Urgency.Yield() == 0
+	if room.Servers == 0 || !again && q.Len() == 0 && (room.Ample() || urgent && room.Streams > 0) {
+		return Goes, 0
+	}
+	wait := q.Wait(w, t, now)
+	if !urgent && !again && !w.Bears(wait, now) || !q.Add(w) {
+		return IsRefused, wait
+	}
+	return Waits, wait
+}
+
+// Round removes and returns those who go now, and those who are refused, as they can't be served
+// by their deadline. random is from 0 up to, and not including, 1. A stream that has no room keeps
+// those back that come after it, but for more urgent ones.
+func (q *Queue) Round(servers []rwbackend.View, e Engine, t Traffic, random float64, now time.Time) (next, refused []*Waiter) {
+	blocked := math.MaxInt
+	for n, w := range q.Sort(t, now) {
+		grade, _ := w.Urgency.Grade()
+		if w.Late(now) && !w.Bears(q.Wait(w, t, now), now) {
+			refused = append(refused, w)
+			q.Remove(w)
+			continue
+		}
+		if grade >= blocked || n >= maxTried {
+			continue
+		}
+		room := NewRoom(servers, e, w.Ceiling(e, now), w.Tokens)
+		allowed := room.Streams
+		if w.Urgency.Yield() > 0 {
+			allowed = part(room, t.Instances, random)
+		}
+		if len(next) >= allowed && room.Servers > 0 {
+			blocked = grade
+			continue
+		}
+		next = append(next, w)
+		q.Remove(w)
+	}
+	return next, refused
+}
+
 // RetryAfter returns when a waiter that can't bear a wait is to come back.
 func (w *Waiter) RetryAfter(wait time.Duration, now time.Time) time.Duration {
 	left := w.Urgency.Deadline().Sub(now)
 	return max(minRetryAfter, min(wait, time.Duration(retryPart*float64(left))))
 }
 
-// Part returns how many streams that can wait this instance may let go now, of those that there is
+// part returns how many streams that can wait this instance may let go now, of those that there is
 // room for: its part of them, rounded at random so that all instances together take the whole.
 // random is from 0 up to, and not including, 1.
-func Part(room Room, instances int, random float64) int {
+func part(room Room, instances int, random float64) int {
 	return int(float64(room.Streams)/float64(max(1, instances)) + random)
 }
 
--- a/internal/rwadmit/room.go
+++ b/internal/rwadmit/room.go
@@ -19,7 +19,7 @@
 	backlogPart = 0.25
 	// copyYield is the part of the memory at whose use the least urgent streams go without a
 	// copy, below usableMemory: a copy takes as much as its stream.
-	copyYield = 0.4
+	copyYield = 0.2
 	// ampleServers is the number of servers for each stream that must fit so that room is ample:
 	// then nobody waits.
 	ampleServers = 4
--- a/internal/rwforward/turns.go
+++ b/internal/rwforward/turns.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,8 +32,6 @@
 	// turnMargin is left of the target for what follows the wait: the server's connection and
 	// the way of the first event.
 	turnMargin = 200 * time.Millisecond
-	// maxTurnsTried bounds how many waiting streams are looked at in one round.
-	maxTurnsTried = 16
 	// organisationDigits is the length of an organisation's digest in notices.
 	organisationDigits = 6
 )
@@ -91,22 +88,17 @@
 // before.
 func (s *stream) takeTurn(w *rwadmit.Waiter, lost bool) error {
 	now := time.Now()
-	s.ceiling = s.ceilingAt(w.Aged(now))
+	s.ceiling = w.Ceiling(s.engine(), now)
 	room := s.room(s.ceiling)
-	if room.Servers == 0 {
-		return nil // known by no news: as without waiting
-	}
 	t := s.f.turns.of(s.service.Name)
 	s.f.turns.mu.Lock()
-	urgent := s.urgency.Yield() == 0
-	if !lost && t.queue.Len() == 0 && (room.Ample() || urgent && room.Streams > 0) {
-		s.f.turns.mu.Unlock()
-		return nil
-	}
 	traffic := s.f.trafficLocked(t, s.service.Name, now)
-	wait := t.queue.Wait(w, traffic, now)
-	if !urgent && !lost && !w.Bears(wait, now) || !t.queue.Add(w) {
+	verdict, wait := t.queue.Arrive(w, room, traffic, now, lost)
+	if verdict != rwadmit.Waits {
 		s.f.turns.mu.Unlock()
+		if verdict == rwadmit.Goes {
+			return nil
+		}
 		s.countTurn("rejected")
 		return s.noTurnError(w, wait, room, traffic)
 	}
@@ -126,7 +118,7 @@
 	select {
 	case err := <-own.result:
 		s.f.Log.Info("stream's turn", "request", s.info.ID, "waited", time.Since(now).Seconds(), "aged", w.Aged(time.Now()))
-		s.ceiling = s.ceilingAt(w.Aged(time.Now()))
+		s.ceiling = w.Ceiling(s.engine(), time.Now())
 		return err
 	case <-s.r.Context().Done():
 		s.f.turns.leave(t, w)
@@ -175,6 +167,9 @@
 // holdRoundLocked lets those go whose turn it is, and refuses those that have no time left. All
 // are refused when the instance stops: it takes no part in what comes after.
 func (f *Forwarder) holdRoundLocked(service string, t *serviceTurns, now time.Time) {
+	if len(t.waiting) == 0 {
+		return
+	}
 	if f.ShuttingDown() {
 		for w := range t.waiting {
 			t.endLocked(w, stoppingError(0))
@@ -182,34 +177,26 @@
 		return
 	}
 	traffic := f.trafficLocked(t, service, now)
-	servers := f.Directory.Service(service)
-	random, gone, blocked := rand.Float64(), 0, math.MaxInt
-	for n, w := range t.queue.Sort(traffic, now) {
-		own := t.waiting[w]
-		s := own.stream
-		grade := s.grade()
-		if wait := t.queue.Wait(w, traffic, now); w.Late(now) && !w.Bears(wait, now) {
-			s.countTurn("expired")
-			t.endLocked(w, s.noTurnError(w, wait, rwadmit.Room{}, traffic))
-			continue
-		}
-		if grade >= blocked || n >= maxTurnsTried {
-			continue
-		}
-		room := rwadmit.NewRoom(servers, s.engine(), s.ceilingAt(w.Aged(now)), w.Tokens)
-		allowed := room.Streams
-		if s.urgency.Yield() > 0 {
-			allowed = rwadmit.Part(room, traffic.Instances, random)
-		}
-		if gone >= allowed && room.Servers > 0 {
-			blocked = grade
-			continue
-		}
-		gone++
+	engine := t.anyStream().engine()
+	next, refused := t.queue.Round(f.Directory.Service(service), engine, traffic, rand.Float64(), now)
+	for _, w := range refused {
+		s := t.waiting[w].stream
+		s.countTurn("expired")
+		t.endLocked(w, s.noTurnError(w, 0, rwadmit.Room{}, traffic))
+	}
+	for _, w := range next {
 		t.endLocked(w, nil)
 	}
 }
 
+// anyStream returns one of the waiting streams.
+func (t *serviceTurns) anyStream() *stream {
+	for _, own := range t.waiting {
+		return own.stream
+	}
+	return nil
+}
+
 // endLocked ends a stream's wait.
 func (t *serviceTurns) endLocked(w *rwadmit.Waiter, err error) {
 	own := t.waiting[w]
@@ -268,10 +255,6 @@
 	return rwadmit.Engine{Slots: s.service.Engine.Slots, Memory: s.service.Engine.Memory, Rate: s.f.Directory.PrefillRate()}
 }
 
-func (s *stream) ceilingAt(aged float64) rwadmit.Ceiling {
-	return rwadmit.NewCeiling(s.engine(), s.urgency.Yield(), aged, s.urgency.Shortest())
-}
-
 // room returns what the service's servers have left below a ceiling.
 func (s *stream) room(c rwadmit.Ceiling) rwadmit.Room {
 	return rwadmit.NewRoom(s.f.Directory.Service(s.service.Name), s.engine(), c, s.info.Prompt+s.info.MaxOutput)
