--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -31,6 +31,10 @@
 	// send it.
 	PrefillRate int `json:"rate,omitempty"`
 
+	// Organisation is a short digest of the one that the request belongs to. It is empty in runs
+	// of builds that don't send it, and of services whose streams are equally urgent.
+	Organisation string `json:"group,omitempty"`
+
 	placedAt     time.Time
 	endedAt      time.Time
 	ownerStopped bool // the run ended with its owner, which may not have told that it started
