--- a/internal/rwusage/fleet_test.go
+++ b/internal/rwusage/fleet_test.go
@@ -396,6 +396,13 @@
 				w.start(1+n, 2)
 			}
 		},
+		"zone killed at once": func(w *world) {
+			time.Sleep(7300 * time.Millisecond)
+			for n := 0; n < len(w.names); n += 3 {
+				w.stop(w.names[n])
+			}
+			time.Sleep(15 * time.Second)
+		},
 		"answers lost": func(w *world) {
 			w.set(func() { w.lostCalls, w.lostWrite = true, true })
 			time.Sleep(20 * time.Second)
@@ -407,7 +414,7 @@
 			time.Sleep(6 * time.Second)
 			w.elect(w.names[0])
 			time.Sleep(20 * time.Second)
-			require.Len(w.t, w.refused, 1)
+			w.set(func() { require.Len(w.t, w.refused, 1) })
 		},
 	}
 	for _, size := range []int{6, 85} {
@@ -459,10 +466,12 @@
 		time.Sleep(2 * testWindow)
 		to := present()
 		time.Sleep(2 * testDue)
-		for window := from; window < to; window++ {
-			require.NotEmpty(t, w.reports[window])
-			w.requireOneContent(window)
-		}
+		w.set(func() {
+			for window := from; window < to; window++ {
+				require.NotEmpty(t, w.reports[window])
+				w.requireOneContent(window)
+			}
+		})
 		w.requireReports(from+2, to)
 	})
 }
@@ -487,9 +496,11 @@
 				time.Sleep(2 * testWindow)
 				to := present()
 				time.Sleep(2 * testDue)
-				for window := from; window < to; window++ {
-					w.requireOneContent(window)
-				}
+				w.set(func() {
+					for window := from; window < to; window++ {
+						w.requireOneContent(window)
+					}
+				})
 				w.requireReports(to-1, to)
 				if !kill {
 					w.requireReports(from, to-3)
@@ -509,13 +520,19 @@
 		w.set(func() { w.away = true })
 		time.Sleep(2 * testWindow)
 		w.stop(w.living()[0])
-		w.set(func() { w.away = false })
-		kept, err := json.Marshal(w.objects[from].Counts)
-		require.NoError(t, err)
+		var kept []byte
+		w.set(func() {
+			w.away = false
+			var err error
+			kept, err = json.Marshal(w.objects[from].Counts)
+			require.NoError(t, err)
+		})
 		time.Sleep(2 * testDue)
-		require.NotEmpty(t, w.reports[from])
-		require.Equal(t, string(kept), w.reports[from][0].content)
-		w.requireOneContent(from)
+		w.set(func() {
+			require.NotEmpty(t, w.reports[from])
+			require.Equal(t, string(kept), w.reports[from][0].content)
+			w.requireOneContent(from)
+		})
 		w.requireReports(from+1, present()-2)
 	})
 }
