The load that servers tell is heard with its fourth figure, and with later ones

Cause: the whole header was dropped unless it had three figures; servers of uneven machines send four.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -234,6 +234,7 @@
 		Entry: s.Entry, Plain: s.ownRequests, FailureRate: s.failureRate,
 		Latency: time.Duration(s.latency * float64(time.Second)), Suspect: now.Before(s.suspectUntil), SilentSinceLoss: s.lostAt.After(s.receivedAt),
 	}
+	v.Report = s.reportLocked(now)
 	if s.said != nil {
 		v.SaidLeaving, v.PausedUntil = !s.said.leavingAt.IsZero(), s.said.pausedUntil
 	}
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -14,6 +14,7 @@
 		return func() {}
 	}
 	s.ownRequests++
+	s.sentSince++
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -42,9 +43,7 @@
 		}
 		s.latency += averageSampleWeight * (took.Seconds() - s.latency)
 	}
-	if load.Slots > 0 {
-		s.load, s.loadAt = load, time.Now()
-	}
+	s.recordLoadLocked(load, time.Now())
 }
 
 // RecordFirstEvent records that a server sent the first event of a stream.
@@ -248,9 +247,7 @@
 	if s.suspectUntil.Before(until) {
 		s.suspectUntil = until
 	}
-	if load.Slots > 0 {
-		s.load, s.loadAt = load, time.Now()
-	}
+	s.recordLoadLocked(load, time.Now())
 }
 
 const (
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -29,6 +29,8 @@
 // Load is the load that a server reported with a response, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+
+	Pace float64 // how long work takes there at that moment, 1 as usual; zero if not reported
 }
 
 // Server is the state of one backend server. It is guarded by the mutex of its
@@ -38,6 +40,7 @@
 	ownRequests         int // non-streaming requests of this instance in flight
 	load                Load
 	loadAt              time.Time
+	sentSince           int       // non-streaming requests of this instance sent since loadAt
 	failureRate         float64   // moving average of the failure rate, 0 to 1
 	latency             float64   // moving average, in seconds
 	suspectUntil        time.Time // end of the back-off
@@ -61,6 +64,8 @@
 	Entry
 	Plain           int           // non-streaming requests of this instance in flight
 	OtherRequests   int           // other requests, from the last reported load; 0 if unknown
+	Report          Report        // what it told of its load
+	Slowness        float64       // how long its work takes on average compared with other servers of the service, 1 as usual; zero if unknown
 	FailureRate     float64       // moving average of the failure rate, 0 to 1
 	Latency         time.Duration // moving average; zero if unknown
 	Suspect         bool          // it is in back-off
--- a/internal/rwforward/limits.go
+++ b/internal/rwforward/limits.go
@@ -16,6 +16,9 @@
 // limit, at most. It covers a question that is sent again because of a lost datagram.
 const maxLimitWait = 150 * time.Millisecond
 
+// maxInvalidText bounds how much of what a server says wrongly is logged, in bytes.
+const maxInvalidText = 200
+
 func limitedServer(e rwbackend.Entry) rwlimit.Server {
 	return rwlimit.Server{ID: e.ID, Incarnation: e.Incarnation}
 }
@@ -29,6 +32,9 @@
 	if reply.InvalidLimit != "" {
 		c.f.Limits.ReportInvalid(limitedServer(server), reply.InvalidLimit)
 	}
+	if reply.InvalidLoad {
+		c.f.Counters.increment("loads_invalid")
+	}
 	c.f.Limits.Observe(limitedServer(server), reply.Limit, sentAt)
 	c.observeStatement(server, status, reply.Statement)
 }
@@ -36,7 +42,7 @@
 func (c *call) observeStatement(server rwbackend.Entry, status int, s rwbackend.Statement) {
 	news := c.f.Directory.RecordStatement(server, s)
 	if news.Invalid {
-		c.f.Log.Info("ignoring what a server says of itself", "request", c.info.ID, "server", server.ID, "status", status, "text", s.Invalid)
+		c.f.Log.Info("ignoring what a server says of itself", "request", c.info.ID, "server", server.ID, "status", status, "text", s.Invalid[:min(len(s.Invalid), maxInvalidText)])
 	}
 	if news.Leaving {
 		c.f.Counters.increment("servers_left")
--- a/internal/rwforward/wire.go
+++ b/internal/rwforward/wire.go
@@ -49,6 +49,7 @@
 	Statement rwbackend.Statement // what the server says of itself
 
 	InvalidLimit string // its text if it can't be used; Limit then names none
+	InvalidLoad  bool   // the load, or a part of it, can't be used; Statement.Invalid has its text
 }
 
 // HeaderCodec parses and builds the headers of requests and responses.
