Plain requests go to the server expected to complete them first; a full service is known as full

Cause: instances with 2 requests a second chose by a load half a second old, or by zone alone, and a request that one full server had refused went to the next, at each instance anew. Change: docs/design/uneven.md. rwpick.ByCompletion (three drawn by slots and lasting speed, compared by queue, pace with its age and own requests); rwbackend learns the lasting speed of a process and tells full servers; notices get full; rwforward refuses at once when a service is full as a whole and sends no hedge to a full server. Failed before: TestFullServiceRefuses (75 arrivals of 40 reads at full servers, now 9 at most).

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -47,6 +47,8 @@
 	eventTokens   float64                    // average
 
 	demand         map[string]Demand // by service
+	work           map[string]*work  // by service, of all its servers
+	queues         map[string]int    // by service: requests that wait at a server that refuses others
 	prefillSamples []float64         // latest measured prefill rates, in prompt tokens per second
 }
 
@@ -54,7 +56,7 @@
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, demand: map[string]Demand{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
+		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, demand: map[string]Demand{}, work: map[string]*work{}, queues: map[string]int{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
 	}
 }
 
@@ -234,7 +236,7 @@
 		Entry: s.Entry, Plain: s.ownRequests, FailureRate: s.failureRate,
 		Latency: time.Duration(s.latency * float64(time.Second)), Suspect: now.Before(s.suspectUntil), SilentSinceLoss: s.lostAt.After(s.receivedAt),
 	}
-	v.Report = s.reportLocked(now)
+	v.Report, v.Slowness, v.FullFor = s.reportLocked(now), d.slownessLocked(s, now), max(0, s.fullUntil.Sub(now))
 	if s.said != nil {
 		v.SaidLeaving, v.PausedUntil = !s.said.leavingAt.IsZero(), s.said.pausedUntil
 	}
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -43,6 +43,9 @@
 		}
 		s.latency += averageSampleWeight * (took.Seconds() - s.latency)
 	}
+	if !failed {
+		d.recordWorkLocked(s, took, load, time.Now())
+	}
 	s.recordLoadLocked(load, time.Now())
 }
 
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -41,6 +41,8 @@
 	load                Load
 	loadAt              time.Time
 	sentSince           int       // non-streaming requests of this instance sent since loadAt
+	work                work      // how long its work takes
+	fullUntil           time.Time // it counts as full until then, see RecordFull
 	failureRate         float64   // moving average of the failure rate, 0 to 1
 	latency             float64   // moving average, in seconds
 	suspectUntil        time.Time // end of the back-off
@@ -65,6 +67,7 @@
 	Plain           int           // non-streaming requests of this instance in flight
 	OtherRequests   int           // other requests, from the last reported load; 0 if unknown
 	Report          Report        // what it told of its load
+	FullFor         time.Duration // until it counts as full no longer; zero if it isn't
 	Slowness        float64       // how long its work takes on average compared with other servers of the service, 1 as usual; zero if unknown
 	FailureRate     float64       // moving average of the failure rate, 0 to 1
 	Latency         time.Duration // moving average; zero if unknown
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -122,7 +122,7 @@
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Dialer: i.Dialer, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
-		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
+		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, NotifyServerFull: i.exchange.AnnounceFull, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
 		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -74,8 +74,9 @@
 	Finder           *HolderFinder
 	Replacements     *ReplacementVerifier
 	Budget           *rwretry.Budget
-	NotifyRun        func(rwbackend.Run) // publishes a run to the other instances
-	NotifyServerLost func(server string) // publishes the loss of a server to the other instances
+	NotifyRun        func(rwbackend.Run)                      // publishes a run to the other instances
+	NotifyServerLost func(server string)                      // publishes the loss of a server to the other instances
+	NotifyServerFull func(server string, full rwbackend.Full) // publishes that a server is full; nil to tell nobody
 	Poison           *rwpoison.Registry
 	NotifySuspicion  func(rwpoison.Suspicion) // publishes a request suspected of crashing servers
 	Parts            *rwpart.Registry
--- a/internal/rwforward/limits.go
+++ b/internal/rwforward/limits.go
@@ -122,6 +122,10 @@
 // server has a limit. A server in back-off is chosen only if none with a limit has a token.
 func (c *call) pickWithinLimits(servers []rwbackend.View) (rwbackend.View, error) {
 	isTried := func(id string) bool { return c.tried[id] }
+	servers, err := c.withoutFull(servers)
+	if err != nil {
+		return rwbackend.View{}, err
+	}
 	ready, limited := c.splitByLimit(servers)
 	limited = slices.DeleteFunc(limited, func(s rwbackend.View) bool { return s.Suspect || isTried(s.ID) })
 	var retryAfter time.Duration
--- a/internal/rwforward/plain.go
+++ b/internal/rwforward/plain.go
@@ -71,7 +71,7 @@
 // budget has a retry, which it takes. Otherwise the slow server may still answer.
 func (c *call) leaveSlowServer() bool {
 	for _, s := range c.readyServers() {
-		if !c.tried[s.ID] && !s.Suspect {
+		if !c.tried[s.ID] && !s.Suspect && s.FullFor == 0 {
 			c.retryPaid = c.f.Budget.Spend(c.service.Name)
 			return c.retryPaid
 		}
@@ -216,6 +216,7 @@
 			c.f.Directory.RecordMisdirected(response.server)
 		} else {
 			c.f.Directory.RecordRefusal(response.server, response.reply.Load)
+			c.recordFull(response.server, response.reply.Load, true)
 		}
 		c.logAttempt("request not run by the server", response.server, nil)
 		return rwattempt.Result[serverResponse]{Outcome: rwattempt.OutcomeNotRun, Err: notRunError(response.server)}
@@ -225,6 +226,7 @@
 		c.recordSurvival(response.server, response.status)
 	}
 	c.f.Directory.RecordResponse(response.server, failed, took, response.reply.Load)
+	c.recordFull(response.server, response.reply.Load, false)
 	if response.status < 300 && !response.success() || !response.reply.Signed && response.status >= 300 {
 		c.logAttempt("invalid response", response.server, nil)
 		return rwattempt.Result[serverResponse]{Outcome: rwattempt.OutcomeUnknown, Err: c.outcomeUnknownError(response.server, errInvalidResponse)}
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -27,6 +27,7 @@
 	Relay         bool                       `json:"relay,omitempty"` // the receiver must forward it within its zone
 	Runs          []rwbackend.Run            `json:"runs,omitempty"`  // current state of changed runs
 	LostServers   []string                   `json:"lost,omitempty"`  // ids of servers that the sender lost
+	FullServers   []FullServer               `json:"full,omitempty"`  // servers that the sender found full
 	VersionTotals map[string]rwversion.Total `json:"moves,omitempty"` // the sender's evidence on old and new versions, by service
 	Suspicions    []rwpoison.Suspicion       `json:"crash,omitempty"` // requests suspected of crashing servers
 
@@ -48,6 +49,13 @@
 	encoded []byte // for a notice to forward, with what this build doesn't know
 }
 
+// FullServer is a server whose queue is full.
+type FullServer struct {
+	ID     string `json:"id"`
+	Millis int64  `json:"ms"`              // for which it counts as full
+	Queue  int    `json:"queue,omitempty"` // see rwbackend.Full
+}
+
 const (
 	// maxNoticeBytes keeps a notice within one packet.
 	maxNoticeBytes = 1400
@@ -190,6 +198,10 @@
 	for _, id := range n.LostServers {
 		x.Directory.RecordLoss(id)
 	}
+	for _, full := range n.FullServers {
+		wait := time.Duration(min(full.Millis, rwbackend.MaxFull.Milliseconds())) * time.Millisecond
+		x.Directory.MarkFull(full.ID, rwbackend.Full{For: wait, Queue: full.Queue})
+	}
 	for service, total := range n.VersionTotals {
 		if x.Moves.SetPeerEvidence(n.From, service, total) {
 			x.Log.Info("new version judged bad after evidence from a peer", "service", service, "by", n.From)
@@ -234,6 +246,12 @@
 	x.pendingLost = append(x.pendingLost, id)
 }
 
+// AnnounceFull announces at once that a server is full for a time. It is told once for that time,
+// by whoever finds it out first, and is of no use later.
+func (x *Exchange) AnnounceFull(id string, full rwbackend.Full) {
+	x.broadcast(x.withSender(Notice{FullServers: []FullServer{{ID: id, Millis: full.For.Milliseconds(), Queue: full.Queue}}}))
+}
+
 // AnnounceVersionTotal announces this instance's evidence on the old and new version of a service.
 // If that doesn't fit into a notice by periods, it is announced as that of one period.
 func (x *Exchange) AnnounceVersionTotal(service string, t rwversion.Total) {
--- a/internal/rwpick/plain.go
+++ b/internal/rwpick/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ragwortwall/internal/rwbackend"
@@ -21,10 +22,13 @@
 	plainJitter = 0.05
 )
 
-// Plain returns the server with the lowest cost for a plain request. It skips
-// servers that were tried, and chooses a suspect server only if no other is left.
-// It returns false if no server is left.
+// Plain returns the server for a plain request: by ByCompletion if servers tell their load,
+// otherwise the one with the lowest cost. It skips servers that were tried, and chooses a
+// suspect server only if no other is left. It returns false if no server is left.
 func Plain(servers []rwbackend.View, zone string, tried func(id string) bool) (rwbackend.View, bool) {
+	if slices.ContainsFunc(servers, func(s rwbackend.View) bool { return s.Report.Told }) {
+		return ByCompletion(servers, zone, PlainChoices, tried)
+	}
 	best, found, bestCost := rwbackend.View{}, false, 0.0
 	baseline := minFailures(servers)
 	for _, s := range servers {
