--- a/internal/rwforward/counters.go
+++ b/internal/rwforward/counters.go
@@ -22,6 +22,7 @@
 	latencyIdempotent    = "idempotent" // whole responses to idempotent requests
 	latencyFirstEvent    = "first"      // time to a stream's first event
 	latencyLongestPause  = "pause"      // longest pause between two events of a stream
+	latencyTurn          = "turn"       // wait of a stream for room at a model server
 )
 
 // Range and precision of the latency histograms. The range exceeds the longest
--- a/internal/rwforward/turns.go
+++ b/internal/rwforward/turns.go
@@ -117,9 +117,13 @@
 		"fill", room.Fill, "servers", room.Servers, "instances", traffic.Instances, "rate", traffic.Rate, "again", lost)
 	select {
 	case err := <-own.result:
+		if err != nil {
+			return err
+		}
+		s.f.Counters.recordLatency(latencyTurn, time.Since(now))
 		s.f.Log.Info("stream's turn", "request", s.info.ID, "waited", time.Since(now).Seconds(), "aged", w.Aged(time.Now()))
 		s.ceiling = w.Ceiling(s.engine(), time.Now())
-		return err
+		return nil
 	case <-s.r.Context().Done():
 		s.f.turns.leave(t, w)
 		s.countTurn("left")
@@ -182,7 +186,7 @@
 	for _, w := range refused {
 		s := t.waiting[w].stream
 		s.countTurn("expired")
-		t.endLocked(w, s.noTurnError(w, 0, rwadmit.Room{}, traffic))
+		t.endLocked(w, s.noTurnError(w, t.queue.Wait(w, traffic, now), s.room(w.Ceiling(engine, now)), traffic))
 	}
 	for _, w := range next {
 		t.endLocked(w, nil)
