--- a/cmd/rwentry/doors_test.go
+++ b/cmd/rwentry/doors_test.go
@@ -2,19 +2,17 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"ragwortwall/internal/rwcrowd"
 	"ragwortwall/platform/standin"
 
 	"github.com/stretchr/testify/require"
@@ -38,7 +36,7 @@
 	name  string
 	conns int // manyConns comes with doorDescriptors, other numbers with wideDescriptors
 	door  func(i testInstance) string
-	send  func(c net.Conn, n int)
+	send  rwcrowd.Sender
 }
 
 func callersDoor(i testInstance) string { return i.CallerAddress }
@@ -51,56 +49,11 @@
 	return net.JoinHostPort(host, "9464")
 }
 
-func sendNothing(net.Conn, int) {}
-
-// sendText returns a sender of a text in which %d is the number of the connection.
-func sendText(parts ...string) func(net.Conn, int) {
-	text := strings.Join(parts, "")
-	return func(c net.Conn, n int) {
-		_, _ = io.WriteString(c, strings.ReplaceAll(text, "%d", fmt.Sprint(n)))
-	}
-}
-
-// sendEndless returns a sender of a text and then another one without end.
-func sendEndless(first, endless string) func(net.Conn, int) {
-	block := strings.Repeat(endless, 1+(8<<10)/len(endless))
-	return func(c net.Conn, n int) {
-		sendText(first)(c, n)
-		for {
-			if _, err := io.WriteString(c, block); err != nil {
-				return
-			}
-		}
-	}
-}
-
-// sendSlowly returns a sender of one byte of a text at a time.
-func sendSlowly(text string) func(net.Conn, int) {
-	const pause = 50 * time.Millisecond
-	return func(c net.Conn, n int) {
-		for _, b := range []byte(strings.ReplaceAll(text, "%d", fmt.Sprint(n))) {
-			if _, err := c.Write([]byte{b}); err != nil {
-				return
-			}
-			time.Sleep(pause)
-		}
-	}
-}
-
 // headOf returns the first lines of the head of a request, without its end.
 func headOf(line string) string {
 	return line + " HTTP/1.1\r\nHost: " + standin.Host + "\r\nAuthorization: Bearer " + standin.Key + "\r\nRagwortwall-Request-Id: door%d\r\n"
 }
 
-// shortFields returns fields of different names with a total length in bytes.
-func shortFields(length int) string {
-	var b strings.Builder
-	for n := 0; b.Len() < length; n++ {
-		fmt.Fprintf(&b, "x%x:\r\n", n)
-	}
-	return b.String()
-}
-
 const (
 	legalHead  = 15 << 10 // bytes; the limit of the settings is 16 KiB
 	longHead   = 60 << 10
@@ -111,36 +64,36 @@
 
 // crowds are the forms at the doors where they differ. Their sizes are small, and fixed.
 var crowds = []crowd{
-	{"no byte", manyConns, callersDoor, sendNothing},
-	{"part of a head", manyConns, callersDoor, sendText("POST /drafts/x HTTP/1.1\r\nHo")},
-	{"one byte at a time", manyConns, callersDoor, sendSlowly(headOf("POST /drafts/x") + shortOfEnd)},
-	{"short of its end, no route", manyConns, callersDoor, sendText(headOf("POST /nowhere/x"), shortOfEnd)},
-	{"short of its end, ready path", manyConns, callersDoor, sendText(headOf("POST /ragwortwall/readyz"), shortOfEnd)},
-	{"short of its end", manyConns, callersDoor, sendText(headOf("POST /drafts/x"), shortOfEnd)},
-	{"expects 100", manyConns, callersDoor, sendText(headOf("POST /drafts/x"), "Expect: 100-continue\r\nContent-Length: 10\r\n\r\n")},
-	{"many fields", 600, callersDoor, sendText(headOf("POST /drafts/x"), shortFields(legalHead), shortOfEnd)},
-	{"many fields, no route", 600, callersDoor, sendText(headOf("POST /nowhere/x"), shortFields(legalHead), shortOfEnd)},
-	{"many fields, no end of the head", 200, callersDoor, sendText(headOf("POST /drafts/x"), shortFields(longHead))},
-	{"field of many parts", 600, callersDoor, sendText(headOf("POST /drafts/x"), "Connection: ", strings.Repeat("a,", legalHead/2), "\r\nRagwortwall-Prompt-Prefix: a:1\r\n", shortOfEnd)},
-	{"prompt of many parts", 600, callersDoor, sendText(headOf("POST /drafts/x"), "Ragwortwall-Prompt-Prefix: ", strings.Repeat("a,", legalHead/2), "\r\n", shortOfEnd)},
-	{"long bodies", 200, callersDoor, sendText(headOf("POST /drafts/x"), "Content-Length: 1000000\r\n\r\n", strings.Repeat("x", 999_999))},
-	{"chunks of one byte", 200, callersDoor, sendText(headOf("POST /drafts/x"), "Transfer-Encoding: chunked\r\n\r\n", oneByteChunks)},
-	{"endless body", 100, callersDoor, sendEndless(headOf("POST /orders/x")+"Content-Length: 100000000000\r\n\r\n", "x")},
-	{"endless chunks, no route", 100, callersDoor, sendEndless(headOf("POST /nowhere/x")+"Transfer-Encoding: chunked\r\n\r\n", "1;e=1\r\nx\r\n")},
-	{"endless trailers", 100, callersDoor, sendEndless(headOf("POST /orders/x")+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "Xab: c\r\n")},
-	{"sent ahead", manyConns, callersDoor, sendEndless("", headOf("GET /looks/x")+"\r\n")},
-	{"sent ahead, many fields", 600, callersDoor, sendEndless("", headOf("GET /nowhere/x")+shortFields(legalHead)+"\r\n")},
-	{"long answers not read", 100, callersDoor, sendText(headOf("GET /looks/long"), "\r\n")},
-	{"streams not read", 100, callersDoor, sendText(headOf("GET /drafts/endless"), "\r\n")},
-	{"no byte, ready", manyConns, readyDoor, sendNothing},
-	{"many fields, ready", 40, readyDoor, sendText("GET / HTTP/1.1\r\nHost: h\r\n", shortFields(900<<10))},
-	{"no byte, metrics", manyConns, metricsDoor, sendNothing},
-	{"many fields, metrics", 40, metricsDoor, sendText("GET /metrics HTTP/1.1\r\nHost: h\r\n", shortFields(900<<10))},
-	{"state not read", 40, metricsDoor, sendEndless("", "GET /state HTTP/1.1\r\nHost: h\r\n\r\n")},
-	{"no byte, other instances", manyConns, peerDoor, sendNothing},
-	{"long message, other instances", 60, peerDoor, sendText("\x02\x01\x01\x80\x80\xff\x01", strings.Repeat("x", 4<<20-1<<15))},
-	{"no byte, relay", manyConns, relayDoor, sendNothing},
-	{"many fields, relay", 40, relayDoor, sendText("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n", shortFields(900<<10))},
+	{"no byte", manyConns, callersDoor, rwcrowd.Nothing},
+	{"part of a head", manyConns, callersDoor, rwcrowd.Text("POST /drafts/x HTTP/1.1\r\nHo")},
+	{"one byte at a time", manyConns, callersDoor, rwcrowd.Slowly(headOf("POST /drafts/x") + shortOfEnd)},
+	{"short of its end, no route", manyConns, callersDoor, rwcrowd.Text(headOf("POST /nowhere/x"), shortOfEnd)},
+	{"short of its end, ready path", manyConns, callersDoor, rwcrowd.Text(headOf("POST /ragwortwall/readyz"), shortOfEnd)},
+	{"short of its end", manyConns, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), shortOfEnd)},
+	{"expects 100", manyConns, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), "Expect: 100-continue\r\nContent-Length: 10\r\n\r\n")},
+	{"many fields", 600, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), rwcrowd.ShortFields(legalHead), shortOfEnd)},
+	{"many fields, no route", 600, callersDoor, rwcrowd.Text(headOf("POST /nowhere/x"), rwcrowd.ShortFields(legalHead), shortOfEnd)},
+	{"many fields, no end of the head", 200, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), rwcrowd.ShortFields(longHead))},
+	{"field of many parts", 600, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), "Connection: ", strings.Repeat("a,", legalHead/2), "\r\nRagwortwall-Prompt-Prefix: a:1\r\n", shortOfEnd)},
+	{"prompt of many parts", 600, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), "Ragwortwall-Prompt-Prefix: ", strings.Repeat("a,", legalHead/2), "\r\n", shortOfEnd)},
+	{"long bodies", 200, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), "Content-Length: 1000000\r\n\r\n", strings.Repeat("x", 999_999))},
+	{"chunks of one byte", 200, callersDoor, rwcrowd.Text(headOf("POST /drafts/x"), "Transfer-Encoding: chunked\r\n\r\n", oneByteChunks)},
+	{"endless body", 100, callersDoor, rwcrowd.Endless(headOf("POST /orders/x")+"Content-Length: 100000000000\r\n\r\n", "x")},
+	{"endless chunks, no route", 100, callersDoor, rwcrowd.Endless(headOf("POST /nowhere/x")+"Transfer-Encoding: chunked\r\n\r\n", "1;e=1\r\nx\r\n")},
+	{"endless trailers", 100, callersDoor, rwcrowd.Endless(headOf("POST /orders/x")+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "Xab: c\r\n")},
+	{"sent ahead", manyConns, callersDoor, rwcrowd.Endless("", headOf("GET /looks/x")+"\r\n")},
+	{"sent ahead, many fields", 600, callersDoor, rwcrowd.Endless("", headOf("GET /nowhere/x")+rwcrowd.ShortFields(legalHead)+"\r\n")},
+	{"long answers not read", 100, callersDoor, rwcrowd.Text(headOf("GET /looks/long"), "\r\n")},
+	{"streams not read", 100, callersDoor, rwcrowd.Text(headOf("GET /drafts/endless"), "\r\n")},
+	{"no byte, ready", manyConns, readyDoor, rwcrowd.Nothing},
+	{"many fields, ready", 40, readyDoor, rwcrowd.Text("GET / HTTP/1.1\r\nHost: h\r\n", rwcrowd.ShortFields(900<<10))},
+	{"no byte, metrics", manyConns, metricsDoor, rwcrowd.Nothing},
+	{"many fields, metrics", 40, metricsDoor, rwcrowd.Text("GET /metrics HTTP/1.1\r\nHost: h\r\n", rwcrowd.ShortFields(900<<10))},
+	{"state not read", 40, metricsDoor, rwcrowd.Endless("", "GET /state HTTP/1.1\r\nHost: h\r\n\r\n")},
+	{"no byte, other instances", manyConns, peerDoor, rwcrowd.Nothing},
+	{"long message, other instances", 60, peerDoor, rwcrowd.Text("\x02\x01\x01\x80\x80\xff\x01", strings.Repeat("x", 4<<20-1<<15))},
+	{"no byte, relay", manyConns, relayDoor, rwcrowd.Nothing},
+	{"many fields, relay", 40, relayDoor, rwcrowd.Text("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n", rwcrowd.ShortFields(900<<10))},
 }
 
 func (c crowd) descriptors() int {
@@ -150,14 +103,6 @@
 	return wideDescriptors
 }
 
-// openDescriptors returns the number of open descriptors of a process.
-func openDescriptors(t *testing.T, pid int) int {
-	t.Helper()
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	require.NoError(t, err)
-	return len(entries)
-}
-
 // doorWorld is a process with servers that answers callers.
 type doorWorld struct {
 	instance testInstance
@@ -230,40 +175,15 @@
 	return listener.Addr().String()
 }
 
-// join opens the connections of a crowd, which last until the returned function is called.
-func (c crowd) join(t *testing.T, i testInstance) (leave func()) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	var opened, work sync.WaitGroup
-	opened.Add(c.conns)
-	for n := range c.conns {
-		work.Go(func() {
-			conn, err := (&net.Dialer{Timeout: settleTime}).DialContext(ctx, "tcp", c.door(i))
-			opened.Done()
-			if err != nil {
-				return // refused
-			}
-			defer func() { _ = conn.Close() }()
-			stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-			defer stop()
-			c.send(conn, n)
-			<-ctx.Done()
-		})
-	}
-	opened.Wait()
-	return func() {
-		cancel()
-		work.Wait()
-	}
-}
-
 // requireSound checks that a process lives, has stayed within its memory and descriptors, is
 // ready and answers an ordinary request.
 func (w doorWorld) requireSound(t *testing.T) {
 	t.Helper()
 	pid := w.cmd.Process.Pid
 	require.Empty(t, w.exited, "the process has ended")
-	peak, descriptors := peakMemory(t, pid), openDescriptors(t, pid)
+	peak := peakMemory(t, pid)
+	descriptors, err := rwcrowd.OpenDescriptors(pid)
+	require.NoError(t, err)
 	t.Log("peak memory, MB:", peak, "descriptors:", descriptors)
 	require.Less(t, peak, doorMemory)
 	require.Less(t, descriptors, w.instance.MaxFDs-reservedDescriptors)
@@ -285,7 +205,7 @@
 	for _, c := range crowds {
 		t.Run(c.name, func(t *testing.T) {
 			w := startDoorWorld(t, program, c.descriptors())
-			leave := c.join(t, w.instance)
+			leave := rwcrowd.Join(t.Context(), c.door(w.instance), c.conns, c.send)
 			defer leave()
 			time.Sleep(settleTime)
 			w.requireSound(t) // while the crowd stays
@@ -300,8 +220,7 @@
 func TestCallersOutsideLimitsStop(t *testing.T) {
 	w := startDoorWorld(t, buildProgram(t), wideDescriptors)
 	for _, c := range crowds {
-		c.conns = 20
-		defer c.join(t, w.instance)()
+		defer rwcrowd.Join(t.Context(), c.door(w.instance), 20, c.send)()
 	}
 	time.Sleep(settleTime)
 	require.NoError(t, w.cmd.Process.Signal(syscall.SIGTERM))
--- a/cmd/rwentry/endless_test.go
+++ b/cmd/rwentry/endless_test.go
@@ -8,13 +8,12 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"ragwortwall/internal/rwcrowd"
 	"ragwortwall/platform/standin"
 
 	"github.com/stretchr/testify/require"
@@ -81,13 +80,9 @@
 // peakMemory returns the largest memory that a process has used, in MB.
 func peakMemory(t *testing.T, pid int) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	peak, err := rwcrowd.PeakMemory(pid)
 	require.NoError(t, err)
-	_, rest, ok := strings.Cut(string(status), "VmHWM:")
-	require.True(t, ok)
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	require.NoError(t, err)
-	return kilobytes >> 10
+	return peak
 }
 
 // sendPartOfBody sends an order with a long body but for its end, and waits until ctx ends.
--- a/internal/rwaccount/account.go
+++ b/internal/rwaccount/account.go
@@ -90,7 +90,7 @@
 	fileDescriptors = 200
 	// callersFraction is the part of the other descriptors that callers may have: each of their
 	// requests may need a connection to a server besides.
-	callersFraction = 0.45
+	callersFraction = 0.4
 	peersFraction   = 0.125
 	relayedFraction = 0.0625
 	maxSmall        = 32
--- a/internal/rwconfig/config.go
+++ b/internal/rwconfig/config.go
@@ -25,6 +25,9 @@
 	DrainTimeout rwjson.Duration `json:"drain,omitempty"`   // maximum wait for running answers at shutdown; 10m if absent
 	TLS          *TLS            `json:"tls,omitempty"`     // for connections between instances
 	Verbose      bool            `json:"verbose,omitempty"` // also log debug messages
+
+	MemoryMB    int `json:"memory,omitempty"`      // memory that the process may use, in MB; that of the machine if absent
+	Descriptors int `json:"descriptors,omitempty"` // descriptors that it may have open; what the system allows if absent
 }
 
 // TLS names the certificate and key files for TLS between instances.
--- a/internal/rwlab/fleet.go
+++ b/internal/rwlab/fleet.go
@@ -48,6 +48,8 @@
 	EngineArguments []string            // additional command-line arguments of each engine
 	Versions        []string            // versions loaded at each engine; v1 if empty
 	DrainTimeout    time.Duration       // longest wait of an instance for running answers at shutdown; the instance's default if 0
+	Memory          int                 // memory of each instance in MB; none is set if 0
+	Descriptors     int                 // descriptors of each instance; none are set if 0
 	QuietLogs       bool                // turns off verbose logs of the instances
 	EditRoute       func(*rwtree.Route) // edits the model's route before the start, if set
 
@@ -149,6 +151,12 @@
 	if f.DrainTimeout > 0 {
 		settings["drain"] = f.DrainTimeout.String()
 	}
+	if f.Memory > 0 {
+		settings["memory"] = f.Memory
+	}
+	if f.Descriptors > 0 {
+		settings["descriptors"] = f.Descriptors
+	}
 	body, err := json.Marshal(settings)
 	if err != nil {
 		return errors.Trace(err)
@@ -327,6 +335,9 @@
 	return "http://" + f.addresses[name].main
 }
 
+// InstancesAddress returns the address of an instance for calls of others.
+func (f *Fleet) InstancesAddress(name string) string { return f.addresses[name].instances }
+
 // OperatorURL returns the URL at which an instance serves operators.
 func (f *Fleet) OperatorURL(name string) string { return "http://" + f.addresses[name].operators }
 
