ragwortwall serve: clients share one account of memory and one of connections

Cause: nothing bounded the connections of any listener, heads had a megabyte each, bodies 2 MB each with no limit together and no time, messages of other instances 4 MB each.

Change: rwaccount and rwconn as in rwentry; bodies are charged with what decoding makes of them, messages of other instances while they aren't whole.

--- a/internal/rwconn/conns.go
+++ b/internal/rwconn/conns.go
@@ -27,6 +27,9 @@
 	Memory  *rwaccount.Memory    // what connections and heads are charged to; nil for no limit
 	Count   func(name string)    // counts what was closed or refused; nil for nothing
 
+	BodyTimeout   time.Duration // within which Handler reads a whole body; zero if the handler sets a limit
+	ReaderTimeout time.Duration // within which the client reads, unless the handler sets another limit; zero for none
+
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
 	closing bool // connections are closed when they become idle
--- a/internal/rwconn/crowd.go
+++ b/internal/rwconn/crowd.go
@@ -22,9 +22,6 @@
 	crowdBatch = 32
 	// restTimeout is how long the rest of a body is awaited after the handler has returned.
 	restTimeout = 2 * time.Second
-	// readerTimeout is how long a client may take to read what is sent before a handler sets
-	// another limit.
-	readerTimeout = 30 * time.Second
 )
 
 // refusal is the response to a request whose head finds no memory. It has not run.
@@ -176,12 +173,18 @@
 func (c *Conns) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		connection := http.NewResponseController(w)
-		_ = connection.SetWriteDeadline(time.Now().Add(readerTimeout)) // fails only on a closed connection
+		if c.ReaderTimeout > 0 {
+			_ = connection.SetWriteDeadline(time.Now().Add(c.ReaderTimeout)) // fails only on a closed connection
+		}
 		if r.Body == nil || r.Body == http.NoBody {
 			next.ServeHTTP(w, r)
 			return
 		}
 		body := &watchedBody{ReadCloser: r.Body}
+		if c.BodyTimeout > 0 {
+			_ = connection.SetReadDeadline(time.Now().Add(c.BodyTimeout))
+			body.onEnd = func() { _ = connection.SetReadDeadline(time.Time{}) }
+		}
 		r.Body = body
 		defer func() {
 			if !body.ended && !body.timedOut {
@@ -196,13 +199,19 @@
 type watchedBody struct {
 	io.ReadCloser
 	ended    bool
-	timedOut bool // the handler has limited it already
+	timedOut bool   // the handler has limited it already
+	onEnd    func() // called once when it has ended; nil for nothing
 }
 
 // Read reads from the body.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.ended = b.ended || errors.Is(err, io.EOF)
+	if errors.Is(err, io.EOF) && !b.ended {
+		b.ended = true
+		if b.onEnd != nil {
+			b.onEnd()
+		}
+	}
 	b.timedOut = b.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -295,6 +295,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second // above the limits that users may set
 	maxHeaderBytes    = 64 << 10         // above the limits that users may set
+	readerTimeout     = 30 * time.Second // to read a response to a request without a route
 )
 
 // smallServer returns a server for short requests of operators' tools. It counts the connections
@@ -321,6 +322,7 @@
 		return errors.Trace(err)
 	}
 	i.callers.MaxIdle, i.callers.Max, i.callers.Memory, i.callers.Count = i.maxIdle, i.shares.Callers, i.memory, i.countCrowd
+	i.callers.ReaderTimeout = readerTimeout
 	baseCtx, cancelRequests := context.WithCancel(context.Background())
 	defer cancelRequests()
 	callerServer := &http.Server{
--- a/internal/rwgateway/gateway.go
+++ b/internal/rwgateway/gateway.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwcursor"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwgeneration"
@@ -40,6 +40,7 @@
 	Counters  *rwgeneration.Counters
 	Refusals  *rwretry.Refusals
 	Log       logr.Logger
+	Memory    *rwaccount.Memory // that bodies are charged to; nil for no limit
 
 	// IsPrimaryHere reports whether this instance is the primary of a generation, or of a
 	// copy of the same request that has not yet run long enough to be proven harmless.
@@ -185,7 +186,8 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(w, r)
+	body, release, err := g.Memory.Body(w, r, MaxBodyBytes, decodedCopies)
+	defer release()
 	if err != nil {
 		return err
 	}
@@ -313,10 +315,5 @@
 	}
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	if err != nil {
-		return nil, rwerror.New(rwerror.KindTooLarge, "send at most 2 MiB", "cannot read the request body: %v", err)
-	}
-	return body, nil
-}
+// decodedCopies is how often a body is in memory while it is decoded, sent and kept for repeats.
+const decodedCopies = 6
--- a/internal/rwlab/doors_test.go
+++ b/internal/rwlab/doors_test.go
@@ -117,6 +117,7 @@
 			}
 			require.NoError(t, fleet.Start(t.Context()))
 			defer fleet.Stop()
+			defer func() { _ = fleet.Kill(instance) }() // its stop is not tested here
 			leave := rwcrowd.Join(t.Context(), c.door(fleet), c.conns, c.send)
 			defer leave()
 			time.Sleep(settleTime)
--- a/internal/rwnet/peers.go
+++ b/internal/rwnet/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwwire"
 
 	"storj.io/drpc"
@@ -52,12 +53,20 @@
 // Close closes all idle connections and returns their errors.
 func (p *PeerPool) Close() error { return p.pool.Close() }
 
+// Bounds are what other instances, or whoever else connects, may take of this one.
+type Bounds struct {
+	MaxConns int               // zero for no limit
+	Memory   *rwaccount.Memory // for messages that aren't whole; nil for no limit
+	Count    func()            // called for each connection that is closed for a bound
+}
+
 // Serve passes the calls of other instances on l to server until ctx ends. It returns
 // an error when the server can't be registered or l fails.
-func Serve(ctx context.Context, l net.Listener, server rwwire.DRPCInstanceServer) error {
+func Serve(ctx context.Context, l net.Listener, server rwwire.DRPCInstanceServer, bounds Bounds) error {
 	mux := drpcmux.New()
 	if err := rwwire.DRPCRegisterInstance(mux, server); err != nil {
 		return err
 	}
-	return drpcserver.New(drpc.Handler(mux)).Serve(ctx, l)
+	bounded := &rwaccount.Listener{Listener: l, Max: bounds.MaxConns, Count: bounds.Count}
+	return drpcserver.New(drpc.Handler(mux)).Serve(ctx, messageListener{bounded, bounds.Memory, bounds.Count})
 }
--- a/internal/rwserve/instance.go
+++ b/internal/rwserve/instance.go
@@ -8,7 +8,9 @@
 	"sync"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwconfig"
+	"ragwortwall/internal/rwconn"
 	"ragwortwall/internal/rwengine"
 	"ragwortwall/internal/rwgateway"
 	"ragwortwall/internal/rwgeneration"
@@ -65,6 +67,9 @@
 	mover       *rwmove.Mover
 	decider     *rwmove.Decider
 	started     time.Time
+	memory      *rwaccount.Memory // what is held for clients
+	shares      rwaccount.Shares
+	callers     rwconn.Conns
 	loadChanges loadChanges
 	baseCtx     context.Context //nolint:containedctx // cancelled after draining
 	placementMu sync.Mutex      // serialises the choice of the primary for copies of a request
@@ -82,6 +87,7 @@
 	i.traffic = &rwnet.Traffic{}
 	i.PeerNetwork = rwnet.CountingNetwork{Network: i.PeerNetwork, Traffic: i.traffic}
 	i.started = time.Now()
+	i.initBounds()
 	i.incarnation = rand.Uint64()
 	i.peers = rwnet.NewPeerPool(i.PeerNetwork)
 	httpClient := rwnet.HTTPClient(i.Network)
@@ -145,6 +151,7 @@
 			Ledger: i.ledger,
 			Budget: i.budget,
 			Dial:   i.Network.Dial,
+			Memory: i.memory,
 			Log:    i.Log.WithName("service"),
 
 			Suspicions:      i.suspicions,
@@ -152,6 +159,7 @@
 		},
 		Counters: i.counters,
 		Log:      i.Log.WithName("gateway"),
+		Memory:   i.memory,
 	}
 }
 
@@ -170,10 +178,11 @@
 	for _, loop := range i.loops() {
 		loops.Go(func() { loop(baseCtx) })
 	}
-	loops.Go(func() { _ = rwnet.Serve(baseCtx, listeners.instances, &server{instance: i}) })
-	callers := httpServer(baseCtx, i.callersHandler())
-	operators := httpServer(baseCtx, i.operatorsHandler())
-	go func() { _ = callers.Serve(listeners.callers) }()
+	loops.Go(func() { _ = rwnet.Serve(baseCtx, listeners.instances, &server{instance: i}, i.instanceBounds()) })
+	callers := httpServer(baseCtx, i.callers.Handler(i.callersHandler()), i.callers.Track)
+	operators := httpServer(baseCtx, i.operatorsHandler(), i.operatorsDoor().Track)
+	operators.ReadTimeout = operatorTimeout
+	go func() { _ = callers.Serve(i.callers.Wrap(listeners.callers)) }()
 	go func() { _ = operators.Serve(listeners.operators) }()
 	i.Log.Info("serving", "callers", i.Config.Callers, "operators", i.Config.Operators, "zone", i.Config.Zone)
 	<-ctx.Done()
@@ -217,8 +226,10 @@
 	return l, errors.Annotate(err, "operators")
 }
 
-func httpServer(ctx context.Context, handler http.Handler) *http.Server {
+func httpServer(ctx context.Context, handler http.Handler, track func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{
+		ConnState:         track,
+		MaxHeaderBytes:    maxHeaderBytes,
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/rwservice/proxy.go
+++ b/internal/rwservice/proxy.go
@@ -6,11 +6,11 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"ragwortwall/internal/rwaccount"
 	"ragwortwall/internal/rwattempt"
 	"ragwortwall/internal/rwerror"
 	"ragwortwall/internal/rwlink"
@@ -58,6 +58,7 @@
 	Ledger Ledger
 	Budget *rwretry.Budget
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // connects to a backend server
+	Memory *rwaccount.Memory                                           // that bodies and answers are charged to; nil for no limit
 	Log    logr.Logger
 
 	Suspicions      *rwpoison.Registry
@@ -76,6 +77,9 @@
 	fingerprint rwpoison.Fingerprint
 }
 
+// bodyCopies is how often a body is in memory while it grows and is sent.
+const bodyCopies = 3
+
 // answer is a service's response, read in full.
 type answer struct {
 	status int
@@ -87,9 +91,10 @@
 // Idempotent calls are retried within the retry budget of the route; others run at
 // most once.
 func (p *Proxy) ServeService(w http.ResponseWriter, r *http.Request, caller rwtree.Caller, route rwtree.NamedRoute) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, release, err := p.Memory.Body(w, r, maxBodyBytes, bodyCopies)
+	defer release()
 	if err != nil {
-		rwerror.Write(w, rwerror.New(rwerror.KindTooLarge, "send at most 2 MiB", "cannot read the request body: %v", err))
+		rwerror.Write(w, err)
 		return
 	}
 	c := &call{proxy: p, request: r, body: body, route: route, caller: caller, attempted: map[string]bool{}}
