Soak with crowds of clients outside the limits (--outside)

Crowds of 200 in eight forms come to one instance after another, beside ordinary callers and faults; instances have 112 MB and 400 descriptors. Checked: they live, peaks, and the soak's own checks. What is closed meanwhile to make room is excused.

A connection that is closed for others is looked at again with its lock held, so that no request is read that then loses its connection; a write counts as waiting after 100 ms.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 SOAK_PATHS_PLANNED := --seed 9002 --length 14s --paths --planned
 SOAK_PATHS := --seed 9003 --length 14s --paths
 
+# With crowds of clients outside the limits, to instances with the memory of the smallest machine.
+SOAK_OUTSIDE := --seed 31001 --length 8s --outside --planned
+
 # With instances of the release before, replaced by this one's and half of them put back. It
 # needs that commit in the history.
 PRODUCTION := $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
@@ -45,7 +48,7 @@
 
 # Several runs at a time, so that they take less than two minutes.
 SOAK_JOBS := 3
-SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)" "$(SOAK_PATHS_PLANNED)" "$(SOAK_PATHS)" "$(SOAK_STOPS)" $(SOAK_UPGRADE)
+SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)" "$(SOAK_PATHS_PLANNED)" "$(SOAK_PATHS)" "$(SOAK_STOPS)" "$(SOAK_OUTSIDE)" $(SOAK_UPGRADE)
 
 .PHONY: build demo demo-platform test unit vet unit-plain race-small race-rwserve race-platform prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -34,6 +34,7 @@
 	Statements bool          `long:"statements" description:"have servers say that they are leaving, or how long they want no requests, and check that they get none"`
 	Paths      bool          `long:"paths" description:"also cut instances from all servers, or from the servers and the store, and check that their callers are served"`
 	Stops      bool          `long:"stops" description:"inject only stops, reloads and changes of settings, in series that overlap, and read streams on connections that are kept until they end"`
+	Outside    bool          `long:"outside" description:"also send crowds of clients outside the limits to instances with the memory of the smallest machine, and check that these live and that others are served"`
 	Measure    bool          `long:"measure" description:"instead of the soak, measure a series of loads one after the other, starting with a baseline without faults"`
 }
 
@@ -112,7 +113,7 @@
 // guarantee held. It removes the folder with the logs only if all held.
 func (o options) runSeed(ctx context.Context, seed uint64, former string) bool {
 	folder := filepath.Join(o.Logs, fmt.Sprint(seed))
-	soak := &rwsoak.Soak{Program: o.Program, Former: former, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, Paths: o.Paths, Stops: o.Stops, PlannedOnly: o.Planned}
+	soak := &rwsoak.Soak{Program: o.Program, Former: former, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, Paths: o.Paths, Stops: o.Stops, Outside: o.Outside, PlannedOnly: o.Planned}
 	report, err := soak.Run(ctx)
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
@@ -126,6 +127,9 @@
 	}
 	fmt.Printf("seed %d: %d faults, %d streams (%d unfinished, %d attempts cut, %d prompts read, longest pause %.2f s), %d of %d orders done, %d of %d requests cut on kept connections, %d servers crashed by a request, %d guarantees broken\n",
 		seed, len(report.Faults), report.Streams, report.Unfinished, report.CutStreams, report.Prefills, report.LongestPause, report.OrdersDone, report.Orders, report.Cut, report.Kept, report.Crashes, len(report.Violations))
+	if o.Outside {
+		fmt.Printf("  %d crowds outside the limits, peaks of %d MB and %d descriptors of an instance\n", report.Crowds, report.PeakMemory, report.PeakDescriptors)
+	}
 	if o.Parts {
 		fmt.Printf("  %d late arrivals of the crashing part; sound requests begun: %v before, %v after\n", report.LateParts, report.SoundBefore, report.SoundAfter)
 	}
--- a/internal/rwconn/crowd.go
+++ b/internal/rwconn/crowd.go
@@ -17,6 +17,8 @@
 	// unansweredWait is how long a client may take for the next step of a first request before
 	// its connection goes first when there are too many.
 	unansweredWait = time.Second
+	// blockedWrite is how long a write takes that waits for its client to read.
+	blockedWrite = 100 * time.Millisecond
 	// crowdBatch is the part of the connections that is closed at once, so that a crowd isn't
 	// searched for each newcomer.
 	crowdBatch = 32
@@ -35,10 +37,14 @@
 func (c *serverConn) waiting() (since time.Time, answered, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.waitingLocked()
+}
+
+func (c *serverConn) waitingLocked() (since time.Time, answered, ok bool) {
 	switch {
-	case c.closed:
+	case c.closed, !c.handling && c.head.whole: // the request is about to be handled
 		return time.Time{}, false, false
-	case !c.writing.IsZero():
+	case !c.writing.IsZero() && time.Since(c.writing) > blockedWrite:
 		return c.writing, true, true
 	case c.handling && c.readingBody:
 		return c.handlingSince, false, true
@@ -72,12 +78,14 @@
 		}
 		return a.since.Compare(b.since)
 	})
-	victims = victims[:min(len(victims), c.Max/crowdBatch+1)]
-	for _, v := range victims {
-		v.conn.closeForOthers()
+	closed := 0
+	for _, v := range victims[:min(len(victims), c.Max/crowdBatch+1)] {
+		if v.conn.closeForOthers() {
+			closed++
+		}
 	}
-	c.count("callers_closed", len(victims))
-	return len(victims) > 0
+	c.count("callers_closed", closed)
+	return closed > 0
 }
 
 // admit makes room for a connection. It reports false if there is none.
@@ -110,12 +118,17 @@
 	}
 }
 
-// closeForOthers closes a connection at once.
-func (c *serverConn) closeForOthers() {
+// closeForOthers closes a connection at once if it still waits for its client, and reports whether
+// it did. No byte is read from it after that.
+func (c *serverConn) closeForOthers() bool {
 	c.mu.Lock()
-	c.closed = true
+	_, _, ok := c.waitingLocked()
+	c.closed = c.closed || ok
 	c.mu.Unlock()
-	_ = c.end()
+	if ok {
+		_ = c.end()
+	}
+	return ok
 }
 
 // end closes the connection and gives back what it holds.
--- a/internal/rwsoak/process.go
+++ b/internal/rwsoak/process.go
@@ -93,6 +93,16 @@
 	return nil
 }
 
+// pid returns the id of the running process; zero if there is none.
+func (i *instance) pid() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cmd == nil {
+		return 0
+	}
+	return i.cmd.Process.Pid
+}
+
 // signal sends a signal to the process if it is running.
 func (i *instance) signal(s syscall.Signal) {
 	i.mu.Lock()
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -34,6 +34,7 @@
 	Reads         bool // Poison with reads without a prompt that have a new query each time
 	Paths         bool // instances lose their paths to all servers, or also to the store
 	Stops         bool // no faults but stops, reloads and changes of settings, in series that overlap
+	Outside       bool // crowds of clients outside the limits come, and instances have the smallest machine's limits
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
 
 	ctx            context.Context //nolint:containedctx // of the run
@@ -82,6 +83,10 @@
 	SoundBefore  Share    `json:"sound_before"` // requests beside those with the crashing part
 	SoundAfter   Share    `json:"sound_after"`
 	Logs         string   `json:"logs"`
+
+	Crowds          int `json:"crowds,omitempty"` // of clients outside the limits
+	PeakMemory      int `json:"memory,omitempty"` // of an instance beside them, in MB
+	PeakDescriptors int `json:"descriptors,omitempty"`
 }
 
 // Numbers of callers, timeouts and limits of a run.
@@ -139,6 +144,9 @@
 	if s.Statements {
 		running.Go(func() { s.sayStatements(callers) })
 	}
+	if s.Outside {
+		running.Go(func() { s.sendOutside(callers) })
+	}
 	running.Go(func() { s.runKept(callers) })
 	if s.Stops {
 		for n, i := range s.instances {
@@ -239,6 +247,7 @@
 			// another one would get that one's addresses of the servers.
 			i.Zone = standin.Zone(n)
 		}
+		s.limitOutside(i)
 		s.instances = append(s.instances, i)
 		if n < zones {
 			seeds = append(seeds, i.peerProxies.control.Address)
