--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -136,7 +136,7 @@
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Dialer: i.Dialer, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
-		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
+		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, NotifyServerFull: i.exchange.AnnounceFull, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
 		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, Instances: i.members.Count, Usage: i.duties.usageCounter(), ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters, Memory: i.memory,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
@@ -302,6 +302,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second // above the limits that users may set
 	maxHeaderBytes    = 64 << 10         // above the limits that users may set
+	readerTimeout     = 30 * time.Second // to read a response to a request without a route
 )
 
 // smallServer returns a server for short requests of operators' tools. It counts the connections
@@ -328,6 +329,7 @@
 		return errors.Trace(err)
 	}
 	i.callers.MaxIdle, i.callers.Max, i.callers.Memory, i.callers.Count = i.maxIdle, i.shares.Callers, i.memory, i.countCrowd
+	i.callers.ReaderTimeout = readerTimeout
 	baseCtx, cancelRequests := context.WithCancel(context.Background())
 	defer cancelRequests()
 	callerServer := &http.Server{
