--- a/internal/rwduty/lease.go
+++ b/internal/rwduty/lease.go
@@ -64,7 +64,6 @@
 	quietAt rwtime.BootTime // when those without an answer have ended
 	told    Announcement    // last announcement
 	toldAt  rwtime.BootTime
-	slow    time.Duration          // timeout of a call to the store
 	clock   func() rwtime.BootTime // replaced in tests
 }
 
@@ -74,7 +73,6 @@
 		if l.clock == nil {
 			l.clock = rwtime.Now
 		}
-		l.slow = l.Rules.Renew
 		l.machine = machine{rules: l.Rules, self: l.Self, life: rand.Int64N(1 << 53)}
 	})
 }
@@ -85,7 +83,7 @@
 	for ctx.Err() == nil {
 		switch a := l.next(); a.deed {
 		case deedRead:
-			l.read(ctx)
+			l.read(ctx, a)
 		case deedWrite:
 			l.write(ctx, a)
 		default:
@@ -126,13 +124,11 @@
 	}
 }
 
-func (l *Lease) read(ctx context.Context) {
-	started := l.clock()
-	ctx, cancel := context.WithTimeout(ctx, l.slow)
+func (l *Lease) read(ctx context.Context, a action) {
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
 	defer cancel()
 	l.Count("store_read_duties")
 	r, err := l.Store.Read(ctx)
-	l.adapt(started, err)
 	if err != nil {
 		l.Log.Info("cannot read the lease of the duties", "cause", err.Error())
 		l.change(func(now rwtime.BootTime, m *machine) { m.failed(now, false, l.Rank(m.other)) })
@@ -142,43 +138,28 @@
 }
 
 func (l *Lease) write(ctx context.Context, a action) {
-	started := l.clock()
-	ctx, cancel := context.WithTimeout(ctx, l.slow)
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
 	defer cancel()
 	l.Count("store_write_duties")
 	p, err := l.Store.Write(ctx, a.at, a.record)
 	switch {
 	case err == nil:
-		l.adapt(started, nil)
 		l.change(func(now rwtime.BootTime, m *machine) { m.written(now, p) })
 	case rwerror.Is(err, rwerror.KindConflict):
 		l.Log.Info("the lease of the duties has changed", "fence", a.record.Fence, "at", a.at.String())
 		l.change(func(now rwtime.BootTime, m *machine) { m.conflict(now) })
 	default:
-		l.adapt(started, err)
 		l.Log.Info("cannot write the lease of the duties", "fence", a.record.Fence, "at", a.at.String(), "cause", err.Error())
 		l.change(func(now rwtime.BootTime, m *machine) { m.failed(now, true, l.Rank(m.other)) })
 	}
 }
 
-// adapt sets the timeout of the calls to the store by how the last one ended. Up to the time
-// that a renewal is worth something, a slow store is given more time.
-func (l *Lease) adapt(started rwtime.BootTime, err error) {
-	took := time.Duration(l.clock() - started)
-	switch {
-	case took >= l.slow && err != nil:
-		l.slow = min(l.Rules.Hold, 2*l.slow)
-	case err == nil && took < l.slow/4:
-		l.slow = max(l.Rules.Renew, l.slow/2)
-	}
-}
-
 // change changes the state of the machine, ends calls whose right has ended and logs and counts
 // what has become of the lease.
 func (l *Lease) change(do func(now rwtime.BootTime, m *machine)) {
 	l.mu.Lock()
 	now := l.clock()
-	before := l.machine.fence
+	before, former := l.machine.fence, l.machine.other
 	do(now, &l.machine)
 	m := &l.machine
 	l.endCallsLocked(now)
@@ -193,7 +174,7 @@
 	case fence == before:
 	case before == 0:
 		l.Count("duty_taken")
-		l.Log.Info("took the lease of the duties", "fence", fence, "before", other, "at", position.String())
+		l.Log.Info("took the lease of the duties", "fence", fence, "former", former, "at", position.String())
 	case fence != 0:
 		l.Count("duty_raised")
 		l.Log.Info("raised the fencing number of the duties", "fence", fence, "before", before, "at", position.String())
--- a/internal/rwduty/machine.go
+++ b/internal/rwduty/machine.go
@@ -1,7 +1,6 @@
 package rwduty
 
 import (
-	"slices"
 	"time"
 
 	"ragwortwall/internal/rwfeed"
@@ -19,6 +18,8 @@
 	closeRanks   = 20
 	farRankDelay = 25 * time.Millisecond
 	maxRankDelay = 4 * time.Second
+	// earlyReaders is the number of claimants that read when an announcement is overdue.
+	earlyReaders = 3
 	// eligiblePoll is how often an instance checks whether it has become a claimant.
 	eligiblePoll = 200 * time.Millisecond
 	// holderPause and claimantPause are the first pauses after a failed call to the store;
@@ -48,6 +49,8 @@
 	until  rwtime.BootTime
 	at     rwfeed.Position // of the object that the write replaces; revision zero to create it
 	record Record
+
+	timeout time.Duration // for the answer of the store
 }
 
 // attempt is a write whose outcome isn't known yet.
@@ -77,13 +80,13 @@
 	free       bool            // the object at position says that it was given up
 	highest    int64           // highest fencing number known
 
-	other   string          // the other holder known last
-	fenceOf int64           // its fencing number
-	otherAt rwtime.BootTime // since when another holder is known after the own time; zero for none
+	other   string // the other holder known last
+	fenceOf int64  // its fencing number
 
 	fence    int64           // own fencing number; zero while this instance isn't the holder
 	last     int64           // own fencing number as long as the process lives
 	until    rwtime.BootTime // until when it may call
+	calledTo rwtime.BootTime // latest end of any call that it was allowed
 	renewAt  rwtime.BootTime
 	attempts []attempt
 	count    int64
@@ -94,6 +97,19 @@
 
 	failures int
 	pausedTo rwtime.BootTime
+	askedAt  rwtime.BootTime // when the last call to the store was begun
+	slowness int             // how often the timeout of such calls was doubled
+}
+
+// timeout returns how long to wait for an answer of the store. A slow store is given more time,
+// up to that for which a renewal is worth something.
+func (m *machine) timeout() time.Duration { return min(m.rules.Hold, m.rules.Renew/2<<m.slowness) }
+
+// answered adapts the timeout to an answer of the store.
+func (m *machine) answered(now rwtime.BootTime) {
+	if m.slowness > 0 && time.Duration(now-m.askedAt) < m.timeout()/4 {
+		m.slowness--
+	}
 }
 
 func after(t rwtime.BootTime, d time.Duration) rwtime.BootTime { return t + rwtime.BootTime(d) }
@@ -120,7 +136,7 @@
 		return action{until: m.pausedTo}
 	}
 	if m.unsure && (m.fence != 0 || !m.leaving) {
-		return action{deed: deedRead}
+		return m.ask(now, action{deed: deedRead})
 	}
 	if m.fence != 0 {
 		return m.nextOfHolder(now, idle)
@@ -153,41 +169,43 @@
 // nextOfClaimant reads the object, and takes the lease if the object was given up or hasn't
 // changed for as long as the lease lasts.
 func (m *machine) nextOfClaimant(now rwtime.BootTime, rank int) action {
-	due := after(m.eligibleAt, firstSilence)
-	switch {
-	case m.positionAt != 0 && m.free:
-		due = m.positionAt
-	case m.positionAt != 0:
-		due = after(m.positionAt, m.rules.Length)
+	if m.reading == nil {
+		if due := after(m.readAt(rank), delayOfRank(rank)); now < due {
+			return action{until: due}
+		}
+		return m.ask(now, action{deed: deedRead})
 	}
-	due = max(after(due, delayOfRank(rank)), m.returnAt(now))
-	if now < due {
-		return action{until: due}
+	due := m.positionAt
+	if !m.free {
+		due = after(due, m.rules.Length)
 	}
-	if m.reading == nil {
-		return action{deed: deedRead}
+	if due = max(after(due, delayOfRank(rank)), m.returnAt()); now < due {
+		return action{until: due}
 	}
-	old := m.reading.Record
-	return m.write(now, Record{Holder: m.self, Life: m.life, Fence: m.nextFence(), Former: old.formerFor(m.self)})
+	return m.write(now, Record{Holder: m.self, Life: m.life, Fence: m.nextFence()})
 }
 
-// returnAt returns when this instance, if it was a holder, may be one again after its successor.
-func (m *machine) returnAt(now rwtime.BootTime) rwtime.BootTime {
-	if m.reading == nil {
-		return 0
-	}
-	r := m.reading.Record
-	if r.fence() < firstFence(m.position.Era) {
-		// The store came back without what was written last: who held the lease isn't known.
-		if m.last != 0 || now < after(m.startedAt, m.rules.Return) {
-			return after(m.positionAt, m.rules.Return)
-		}
-		return 0
-	}
-	if r.Holder != m.self && slices.Contains(r.formerFor(""), m.self) {
-		return after(m.otherAt, m.rules.Return)
+// readAt returns when the first claimant reads the object, unless it hears of it before. The
+// first few do so when an announcement is overdue: the holder may have ended after a write that it
+// didn't announce.
+func (m *machine) readAt(rank int) rwtime.BootTime {
+	switch {
+	case m.positionAt == 0:
+		return after(m.eligibleAt, firstSilence)
+	case m.free:
+		return m.positionAt
+	case rank < earlyReaders:
+		return after(m.positionAt, m.rules.Renew*3/2)
+	default:
+		return after(m.positionAt, m.rules.Length)
 	}
-	return 0
+}
+
+// returnAt returns when this instance, if it was a holder or may have been before its restart, may
+// be one again. Whether others were holders meanwhile need not be known: a store that came back
+// older can't tell.
+func (m *machine) returnAt() rwtime.BootTime {
+	return after(max(m.startedAt, m.calledTo), m.rules.Return)
 }
 
 func delayOfRank(rank int) time.Duration {
@@ -210,18 +228,24 @@
 		m.attempts = m.attempts[1:]
 	}
 	m.highest = max(m.highest, record.fence())
-	return action{deed: deedWrite, at: m.position, record: record}
+	return m.ask(now, action{deed: deedWrite, at: m.position, record: record})
+}
+
+func (m *machine) ask(now rwtime.BootTime, a action) action {
+	m.askedAt, a.timeout = now, m.timeout()
+	return a
 }
 
 // written records that the last write succeeded.
 func (m *machine) written(now rwtime.BootTime, p rwfeed.Position) {
+	m.answered(now)
 	if p.Revision == 0 {
 		m.unsure = true // the store didn't tell the object's new revision
 		return
 	}
 	m.failures = 0
 	m.observe(now, p)
-	m.apply(now, Reading{Position: p, Record: m.attempts[len(m.attempts)-1].record})
+	m.apply(Reading{Position: p, Record: m.attempts[len(m.attempts)-1].record})
 }
 
 // conflict records that the last write was not done, as the object had changed.
@@ -241,6 +265,9 @@
 // be later.
 func (m *machine) failed(now rwtime.BootTime, wrote bool, rank int) {
 	m.unsure = m.unsure || wrote
+	if time.Duration(now-m.askedAt) >= m.timeout() && m.timeout() < m.rules.Hold {
+		m.slowness++
+	}
 	if m.fence != 0 {
 		m.pause(now, holderPause, m.rules.Renew)
 		return
@@ -256,11 +283,12 @@
 
 // read records what the object says.
 func (m *machine) read(now rwtime.BootTime, r Reading) {
+	m.answered(now)
 	m.unsure, m.failures = false, 0
 	if m.positionAt == 0 || r.Position != m.position {
 		m.observe(now, r.Position)
 	}
-	m.apply(now, r)
+	m.apply(r)
 }
 
 // observe records that the object is at a position.
@@ -269,7 +297,7 @@
 }
 
 // apply records the object at the position that was observed last.
-func (m *machine) apply(now rwtime.BootTime, r Reading) {
+func (m *machine) apply(r Reading) {
 	m.reading = &r
 	m.highest = max(m.highest, r.Record.fence())
 	first := firstFence(r.Position.Era)
@@ -277,10 +305,10 @@
 	m.free = r.Record.Free && r.Record.fence() >= first
 	if r.Record.Life != m.life || r.Record.Holder != m.self {
 		m.fence = 0
-		m.noteOther(now, r.Record.Holder, r.Record.fence())
+		m.noteOther(r.Record.Holder, r.Record.fence())
 		return
 	}
-	m.other, m.otherAt = "", 0
+	m.other = ""
 	if r.Record.Free || r.Record.fence() < first {
 		// In a new era a number of its own is needed, and calls with the one before may be
 		// on their way: like any claimant, this instance waits until the lease is over.
@@ -291,6 +319,7 @@
 	for n, a := range m.attempts {
 		if a.record.Count == r.Record.Count {
 			m.until = max(m.until, after(a.at, m.rules.Hold))
+			m.calledTo = max(m.calledTo, m.until)
 			m.renewAt = after(a.at, m.rules.Renew)
 			m.attempts = m.attempts[n+1:]
 			break
@@ -298,14 +327,11 @@
 	}
 }
 
-func (m *machine) noteOther(now rwtime.BootTime, name string, fence int64) {
+func (m *machine) noteOther(name string, fence int64) {
 	if name == "" || name == m.self {
 		return
 	}
 	m.other, m.fenceOf = name, fence
-	if m.otherAt == 0 {
-		m.otherAt = now
-	}
 }
 
 // heard records an announcement. One that is older than what is known changes nothing.
@@ -317,7 +343,7 @@
 		return
 	}
 	m.highest = max(m.highest, a.Fence)
-	m.noteOther(now, a.Holder, a.Fence)
+	m.noteOther(a.Holder, a.Fence)
 	if m.fence != 0 {
 		// By the lease another holder can't be yet: look before anything else is called.
 		m.until, m.unsure = min(m.until, now), true
--- a/internal/rwduty/record.go
+++ b/internal/rwduty/record.go
@@ -1,15 +1,10 @@
 package rwduty
 
 import (
-	"slices"
-
 	"ragwortwall/internal/rwfeed"
 )
 
 const (
-	// maxFormer limits the former holders that a record names. More changes than that
-	// within Rules.Return would need a lease that is handed over several times a second.
-	maxFormer = 8
 	// fenceEraShift places the store's era above the numbers given out within it.
 	fenceEraShift = 32
 	// maxFenceEra keeps fencing numbers in range.
@@ -20,24 +15,11 @@
 
 // Record is the content of the lease's object in the store.
 type Record struct {
-	Holder string   `json:"holder"`           // name of the instance
-	Life   int64    `json:"life"`             // of the holder's process, at random
-	Fence  int64    `json:"fence"`            // fencing number of the calls
-	Count  int64    `json:"count"`            // of the writes by that process; names this one
-	Former []string `json:"former,omitempty"` // holders before, the latest first
-	Free   bool     `json:"free,omitempty"`   // the holder has given the lease up
-}
-
-// formerFor returns the holders before, if an instance takes the lease that r describes.
-func (r Record) formerFor(taker string) []string {
-	former := []string{r.Holder}
-	for _, name := range r.Former {
-		if name != r.Holder {
-			former = append(former, name)
-		}
-	}
-	former = slices.DeleteFunc(former, func(name string) bool { return name == taker || name == "" })
-	return former[:min(len(former), maxFormer)]
+	Holder string `json:"holder"`         // name of the instance
+	Life   int64  `json:"life"`           // of the holder's process, at random
+	Fence  int64  `json:"fence"`          // fencing number of the calls
+	Count  int64  `json:"count"`          // of the writes by that process; names this one
+	Free   bool   `json:"free,omitempty"` // the holder has given the lease up
 }
 
 // fence returns the record's number, or zero for one that no holder writes.
