--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -32,6 +32,7 @@
 	Reads      bool          `long:"reads" description:"also send reads without a prompt that crash each server that runs them, with a new query each time, and check that they are kept from the servers"`
 	Limits     bool          `long:"limits" description:"have servers name limits on the requests that they take, change and end them, and check that they get no more"`
 	Statements bool          `long:"statements" description:"have servers say that they are leaving, or how long they want no requests, and check that they get none"`
+	Duties     bool          `long:"duties" description:"also kill, pause, cut off and stop whoever holds the duties, one after the other, and check that never two instances carry them out and that they go on"`
 	Paths      bool          `long:"paths" description:"also cut instances from all servers, or from the servers and the store, and check that their callers are served"`
 	Stops      bool          `long:"stops" description:"inject only stops, reloads and changes of settings, in series that overlap, and read streams on connections that are kept until they end"`
 	Measure    bool          `long:"measure" description:"instead of the soak, measure a series of loads one after the other, starting with a baseline without faults"`
@@ -112,7 +113,7 @@
 // guarantee held. It removes the folder with the logs only if all held.
 func (o options) runSeed(ctx context.Context, seed uint64, former string) bool {
 	folder := filepath.Join(o.Logs, fmt.Sprint(seed))
-	soak := &rwsoak.Soak{Program: o.Program, Former: former, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, Paths: o.Paths, Stops: o.Stops, PlannedOnly: o.Planned}
+	soak := &rwsoak.Soak{Program: o.Program, Former: former, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, Paths: o.Paths, Stops: o.Stops, Duties: o.Duties, PlannedOnly: o.Planned}
 	report, err := soak.Run(ctx)
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
@@ -129,6 +130,9 @@
 	if o.Parts {
 		fmt.Printf("  %d late arrivals of the crashing part; sound requests begun: %v before, %v after\n", report.LateParts, report.SoundBefore, report.SoundAfter)
 	}
+	if o.Duties {
+		fmt.Printf("  %d holders of the duties disturbed, %d calls accepted\n", report.Holders, report.DutyCalls)
+	}
 	for _, violation := range report.Violations {
 		fmt.Println("  " + violation)
 	}
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"sync"
@@ -35,6 +36,7 @@
 	Paths         bool // instances lose their paths to all servers, or also to the store
 	Stops         bool // no faults but stops, reloads and changes of settings, in series that overlap
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
+	Duties        bool // whoever holds the duties is killed, paused, cut off and stopped, one after the other
 
 	ctx            context.Context //nolint:containedctx // of the run
 	store          standin.Store
@@ -60,6 +62,9 @@
 	limitedServers []*standin.Server // that named a limit
 	stopSignals    []stopSignal
 	sayingServers  []*standin.Server // that said that they leave or want a pause
+	cloud          *standin.Cloud    // nil without Duties
+	cloudServer    *httptest.Server
+	holders        int // of the duties that were disturbed
 }
 
 // Report is the result of a soak run.
@@ -81,6 +86,8 @@
 	LateParts    int      `json:"late_parts"`   // arrivals at servers that count against maxLateParts
 	SoundBefore  Share    `json:"sound_before"` // requests beside those with the crashing part
 	SoundAfter   Share    `json:"sound_after"`
+	Holders      int      `json:"holders"`    // of the duties that were disturbed
+	DutyCalls    int      `json:"duty_calls"` // accepted reports and orders of servers
 	Logs         string   `json:"logs"`
 }
 
@@ -146,8 +153,16 @@
 			running.Go(func() { s.runKeptStreams(callers, i, random) })
 		}
 	}
+	faults, endFaults := context.WithCancel(ctx)
+	var holders sync.WaitGroup
+	if s.Duties {
+		holders.Go(func() { s.disturbHolders(faults) })
+	}
 	s.injectFaults(ctx)
+	endFaults()
+	holders.Wait()
 	s.checkRecovery(ctx)
+	s.checkDuties()
 	stopCallers()
 	running.Wait()
 	s.checkOrders()
@@ -229,6 +244,10 @@
 // startInstances starts the instances and waits until all are ready.
 func (s *Soak) startInstances() error {
 	var seeds []string
+	cloud := ""
+	if s.Duties {
+		cloud = s.startCloud()
+	}
 	for n := range s.Instances {
 		i, err := newInstance(n, cmp.Or(s.Former, s.Program), s.Logs, &s.store)
 		if err != nil {
@@ -239,6 +258,7 @@
 			// another one would get that one's addresses of the servers.
 			i.Zone = standin.Zone(n)
 		}
+		i.CloudAddress = cloud
 		s.instances = append(s.instances, i)
 		if n < zones {
 			seeds = append(seeds, i.peerProxies.control.Address)
@@ -285,6 +305,10 @@
 		}
 	}
 	s.fleet.Close()
+	if s.cloudServer != nil {
+		s.cloudServer.CloseClientConnections()
+		s.cloudServer.Close()
+	}
 	for _, proxy := range s.serverProxies {
 		proxy.Close()
 	}
