--- a/internal/rwsoak/duties.go
+++ b/internal/rwsoak/duties.go
@@ -79,9 +79,11 @@
 		names[fence] = i.Name
 		s.holders++
 		length := time.Duration(random.Int64N(int64(maxHolderFault)))
+		disturbanceEnd := s.disturb("process " + i.Name)
 		end := s.disturbHolder(i, random.IntN(4))
 		sleepUntil(ctx, length)
 		end()
+		disturbanceEnd()
 		sleepUntil(ctx, time.Duration(random.Int64N(int64(maxHolderRest))))
 	}
 }
@@ -90,11 +92,19 @@
 func (s *Soak) disturbHolder(i *instance, kind int) func() {
 	switch kind {
 	case 0:
+		interruptionEnd := s.interrupt(i.Name)
 		i.terminate(syscall.SIGKILL, time.Second)
-		return func() { s.restartInstance(i) }
+		return func() {
+			s.restartInstance(i)
+			interruptionEnd()
+		}
 	case 1:
+		interruptionEnd := s.interrupt(i.Name)
 		i.signal(syscall.SIGSTOP)
-		return func() { i.signal(syscall.SIGCONT) }
+		return func() {
+			i.signal(syscall.SIGCONT)
+			interruptionEnd()
+		}
 	case 2:
 		i.storeProxy.SetMode(ModeSilent)
 		return func() { i.storeProxy.SetMode(ModeNormal) }
