--- a/internal/rwduty/lease_test.go
+++ b/internal/rwduty/lease_test.go
@@ -73,6 +73,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			l, _, ahead := heldLease(t)
 			ctx, g, done, ok := l.Context(t.Context())
 			require.True(t, ok)
@@ -89,6 +90,7 @@
 
 // TestReleaseWaits guards against a lease that is given up while a call runs or is on its way.
 func TestReleaseWaits(t *testing.T) {
+	t.Parallel()
 	l, store, _ := heldLease(t)
 	_, g, done, ok := l.Context(t.Context())
 	require.True(t, ok)
@@ -113,6 +115,7 @@
 
 // TestCallRefused checks that a refused call raises the number.
 func TestCallRefused(t *testing.T) {
+	t.Parallel()
 	l, _, _ := heldLease(t)
 	refused := int64(0)
 	err := l.Call(t.Context(), func(_ context.Context, g Grant) error {
--- a/internal/rwduty/machine_test.go
+++ b/internal/rwduty/machine_test.go
@@ -88,7 +88,7 @@
 func TestRefused(t *testing.T) {
 	w, h := settledWorld(t)
 	w.fenced = true
-	w.calls = append(w.calls, sentCall{w.now, "foreign", h.m.fence + 100, true})
+	w.highest = h.m.fence + 100
 	w.run(3 * time.Second)
 	require.Same(t, h, w.holder())
 	require.LessOrEqual(t, len(h.refusedAt), 7, "the step doubles")
--- a/internal/rwduty/world_test.go
+++ b/internal/rwduty/world_test.go
@@ -38,10 +38,11 @@
 	callsLate float64       // the same of calls
 	farCalls  float64       // share of calls that may take as long as the lease allows
 
-	fenced bool
-	calls  []sentCall
-	nodes  []*node
-	reads  int
+	fenced  bool
+	calls   []sentCall       // that were accepted
+	highest int64            // number of a call that arrived
+	users   map[int64]string // holder that used a number
+	nodes   []*node
 }
 
 type sentCall struct {
@@ -71,7 +72,7 @@
 }
 
 func newWorld(t *testing.T, seed uint64, nodes int) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 48)), now: time.Hour, events: map[time.Duration][]func(){}}
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 48)), now: time.Hour, events: map[time.Duration][]func(){}, users: map[int64]string{}}
 	w.object.Position.Era = 1
 	for n := range nodes {
 		w.nodes = append(w.nodes, &node{world: w, name: fmt.Sprint("n", n), offset: time.Duration(n+1) * time.Hour})
@@ -135,7 +136,6 @@
 	now := n.clock()
 	switch a := n.m.next(now, candidate{eligible: true, rank: rank}, n.running == 0 && n.world.now >= n.quietAt); a.deed {
 	case deedRead:
-		n.world.reads++
 		n.ask(false, func() (Reading, bool) { return n.world.object, true }, func(r Reading, _ bool) { n.m.read(n.clock(), r) })
 	case deedWrite:
 		n.ask(true, func() (Reading, bool) { return n.world.write(a) }, func(r Reading, ok bool) {
@@ -268,15 +268,15 @@
 
 // arrive checks a call by the rules for holders, and reports whether it is accepted.
 func (w *world) arrive(c sentCall) bool {
-	highest := int64(0)
-	for _, earlier := range w.calls {
-		highest = max(highest, earlier.fence)
-		require.False(w.t, earlier.fence == c.fence && earlier.holder != c.holder, "%s and %s use the number %d", earlier.holder, c.holder, c.fence)
+	if user, ok := w.users[c.fence]; ok && user != c.holder {
+		require.Fail(w.t, "two holders", "%s and %s use the number %d", user, c.holder, c.fence)
 	}
-	if w.fenced && c.fence < highest {
+	w.users[c.fence] = c.holder
+	if c.fence < w.highest {
+		require.True(w.t, w.fenced, "%s calls with an outdated number at %s", c.holder, w.now)
 		return false
 	}
-	require.GreaterOrEqual(w.t, c.fence, highest, "%s calls with an outdated number at %s", c.holder, w.now)
+	w.highest = c.fence
 	w.calls = append(w.calls, c)
 	other := ""
 	for k := len(w.calls) - 1; k >= 0 && w.now-w.calls[k].at < testBound && !c.late; k-- {
@@ -284,10 +284,11 @@
 		if earlier.late {
 			continue
 		}
-		require.False(w.t, other != "" && earlier.holder == c.holder, "%s, %s, %s within %s at %s", c.holder, other, c.holder, w.now-earlier.at, w.now)
 		if earlier.holder != c.holder {
 			other = earlier.holder
+			continue
 		}
+		require.Empty(w.t, other, "%s, %s, %s within %s at %s", c.holder, other, c.holder, w.now-earlier.at, w.now)
 	}
 	return true
 }
