A stream doesn't ask again and again where no server is known to work

By reading: with all servers suspect and none with room, the loop of turns had no pause. Now the stream goes or is refused as without turns.

--- a/internal/rwforward/turns.go
+++ b/internal/rwforward/turns.go
@@ -78,7 +78,7 @@
 			return attemptTarget{}, err
 		}
 		target, err := s.awaitTarget()
-		if err == nil || !s.noRoom {
+		if err == nil || !s.noRoom || s.ceiling == (rwadmit.Ceiling{}) {
 			return target, err
 		}
 	}
@@ -90,6 +90,10 @@
 	now := time.Now()
 	s.ceiling = w.Ceiling(s.engine(), now)
 	room := s.room(s.ceiling)
+	if room.Servers == 0 {
+		s.ceiling = rwadmit.Ceiling{} // no server is known to work: as without turns
+		return nil
+	}
 	t := s.f.turns.of(s.service.Name)
 	s.f.turns.mu.Lock()
 	traffic := s.f.trafficLocked(t, s.service.Name, now)
--- a/internal/rwforward/turns_test.go
+++ b/internal/rwforward/turns_test.go
@@ -102,7 +102,9 @@
 		for n := range turnsServers {
 			fleet.f.Directory.RecordLoss(fmt.Sprint("s", n))
 		}
-		require.NoError(t, <-fleet.wait(fleet.stream(t.Context(), "passage")))
+		s := fleet.stream(t.Context(), "passage")
+		require.NoError(t, <-fleet.wait(s))
+		require.Len(t, s.belowCeiling(fleet.f.Directory.Service("m")), turnsServers, "one that was lost is tried")
 	})
 	test("the urgent one goes first", turnsServers, func(t *testing.T, fleet *turnsFleet) {
 		passage := fleet.wait(fleet.stream(t.Context(), "passage"))
