--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -103,5 +103,15 @@
 breaks internal/rwlog 'TestSlowReader' internal/rwlog/log.go 'len(w.pending)+len(line) > maxPendingBytes' 'false'
 breaks internal/rwpeer 'TestZoneLossBounded' internal/rwpeer/outbox.go 'if after > limit {' 'if false {'
 breaks internal/rwpeer 'TestRepeatedHello' internal/rwpeer/start.go 'a.waiting > 0 || repeat' 'a.waiting > 0'
+d=internal/rwduty
+breaks internal/rwduty 'TestLostAnswer' $d/machine.go 'm.until = max(m.until, after(a.at, m.rules.Hold))' 'm.until = max(m.until, after(m.positionAt, m.rules.Hold))'
+breaks internal/rwduty 'TestRandomSchedules' $d/machine.go 'due = after(due, m.rules.Length)' 'due = after(due, 0)'
+breaks internal/rwduty 'TestRandomSchedules' $d/rules.go 'Hold: length * 3 / 4' 'Hold: length'
+breaks internal/rwduty 'TestFormerHolder' $d/machine.go 'return after(max(m.startedAt, m.calledTo), m.rules.Return)' 'return 0'
+breaks internal/rwduty 'TestFreeInOlderCopy' $d/machine.go 'm.free = r.Record.Free && r.Record.fence() >= first' 'm.free = r.Record.Free'
+breaks internal/rwduty 'TestTakeOver' $d/machine.go 'r.Record.Free || r.Record.fence() < first {' 'r.Record.Free {'
+breaks internal/rwduty 'TestRandomSchedules' $d/machine.go 'a.record.Count == r.Record.Count' 'true'
+breaks internal/rwduty 'TestReleaseWaits' $d/machine.go 'm.leaving && !idle' 'm.leaving && false'
+breaks internal/rwduty 'TestCallEnds' $d/call.go 'if now >= c.until {' 'if false {'
 echo "$caught passed, $missed failed"
 [ "$missed" = 0 ]
