--- a/internal/rwnet/messages.go
+++ b/internal/rwnet/messages.go
@@ -14,7 +14,7 @@
 	usualMessageBytes = 16 << 10
 	// messageCopies is how often a message is in memory while it is read: in the reader's buffer,
 	// which has room for more, and as what has been put together of it.
-	messageCopies = 4
+	messageCopies = 6
 	// maxFrameHead is the length of a frame without its data.
 	maxFrameHead = 1 + 9 + 9 + 9
 )
