--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 # Tests named in KNOWN-RED.txt: known-red.sh runs them, and go test ./... skips them.
 RED_TESTS := $(shell sed -nE "s/.*go test .*-run '.(Test[A-Za-z]+).'.*/\1/p" KNOWN-RED.txt | paste -sd '|' -)
 SKIP_RED := $(if $(RED_TESTS),-skip '^($(RED_TESTS))$$')
+# Tests of crowds outside the limits run one at a time, apart from other load.
+CROWD_TESTS := TestCallersOutsideLimits|TestCallersOutsideLimitsStop
+SKIP_RED_AND_CROWDS := -skip '^($(if $(RED_TESTS),$(RED_TESTS)|)$(CROWD_TESTS))$$'
 
 # With a request that crashes each server that runs it; long enough for it to be known.
 SOAK_POISON := --seed 7001 --seeds 2 --length 14s --poison
@@ -53,7 +56,7 @@
 SOAK_JOBS := 3
 SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)" "$(SOAK_PATHS_PLANNED)" "$(SOAK_PATHS)" "$(SOAK_STOPS)" "$(SOAK_OUTSIDE)" "$(SOAK_DUTIES)" $(SOAK_UPGRADE)
 
-.PHONY: build demo demo-platform test unit vet unit-plain race-small race-rwserve race-platform prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
+.PHONY: build demo demo-platform test unit vet unit-plain crowds race-small race-rwserve race-platform prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -72,6 +75,7 @@
 test: build
 	@mkdir -p out
 	$(MAKE) --jobs $(CHECK_JOBS) --output-sync=target $(CHECKS)
+	$(MAKE) crowds
 	$(BIN)/rwdemo >out/demo.txt 2>&1 || (cat out/demo.txt; exit 1)
 	@cat out/demo.txt
 	@$(if $(SOAK_UPGRADE),,echo "NOT RUN: the soak with two builds, as commit $(PRODUCTION) is not in the history")
@@ -85,16 +89,19 @@
 soak: build
 	$(BIN)/rwsoak --seeds 10
 
-unit: vet unit-plain race-small race-rwserve race-platform
+unit: vet unit-plain crowds race-small race-rwserve race-platform
 
 vet:
 	$(GO) vet ./...
 
 unit-plain:
-	$(GO) test $(SKIP_RED) ./...
+	$(GO) test $(SKIP_RED_AND_CROWDS) ./...
+
+crowds:
+	$(GO) test -p 1 -count=1 -run '^($(CROWD_TESTS))$$' ./cmd/rwentry ./internal/rwlab
 
 race-small:
-	$(GO) test -race $(SKIP_RED) ./internal/rwonce ./internal/rwslot ./internal/rwbackend ./internal/rwconn ./internal/rwfeed ./internal/rwlink ./internal/rwpeer ./internal/rwlog ./internal/rwpart ./internal/rwpath
+	$(GO) test -race $(SKIP_RED) ./internal/rwonce ./internal/rwslot ./internal/rwbackend ./internal/rwconn ./internal/rwfeed ./internal/rwlink ./internal/rwpeer ./internal/rwlog ./internal/rwpart ./internal/rwpath ./internal/rwaccount ./internal/rwduty
 
 race-rwserve:
 	@mkdir -p out
