--- a/cmd/rwentry/main.go
+++ b/cmd/rwentry/main.go
@@ -42,7 +42,7 @@
 	dialer := &rwpath.Dialer{}
 	instance := &rwentry.Instance{
 		Settings: settings, ReadyPath: platform.ReadyPath, Wire: platform.Headers{}, Engines: platform.NewEngines(dialer.Dial), Dialer: dialer, Log: log,
-		Cloud:       platform.NewCloud(settings.Duties.Address, settings.Duties.CallsPerSecond),
+		DutyClient:  platform.NewCloud(settings.Duties.Address, settings.Duties.CallsPerSecond),
 		Stores:      rwentry.Stores{States: platform.States(store), Servers: platform.Servers(store), Members: platform.Instances(store), Moves: platform.NewMoves(store), Quarantines: platform.Quarantines(store), Duties: platform.NewDutyStore(store), Usage: platform.UsageWindows{Store: store}, Era: &store.Era},
 		DecodeState: platform.DecodeState, DecodeServer: platform.DecodeServer, DecodeMove: platform.DecodeMove,
 	}
--- a/internal/rwentry/duties.go
+++ b/internal/rwentry/duties.go
@@ -16,9 +16,9 @@
 // end and for the store to take the lease back. The lease ends by itself after that.
 const handOverTimeout = 2 * time.Second
 
-// Cloud carries out the duties. Its errors are of rwerror.KindConflict if a call was refused as
+// DutyClient carries out the duties. Its errors are of rwerror.KindConflict if a call was refused as
 // outdated: see rwduty.Lease.Call.
-type Cloud interface {
+type DutyClient interface {
 	ReportUsage(ctx context.Context, g rwduty.Grant, window int64, counts map[string]int64) error
 	OrderServers(ctx context.Context, g rwduty.Grant, service, zone string, count int) error
 }
@@ -43,11 +43,11 @@
 	}
 	table := i.feeds.desiredState.Table
 	d.demand.Source, d.demand.Table = i.directory, table
-	d.servers.Collector, d.servers.Table, d.servers.Lease, d.servers.Platform = &d.demand, table, &d.lease, i.Cloud
+	d.servers.Collector, d.servers.Table, d.servers.Lease, d.servers.Platform = &d.demand, table, &d.lease, i.DutyClient
 	d.servers.ListAge, d.servers.Moving, d.servers.Heard = i.feeds.servers.Age, d.moving, d.heard
 	d.servers.Count, d.servers.Log = i.counters.Increment, i.Log
 	d.usage.Self, d.usage.Life, d.usage.Window, d.usage.Due = i.Settings.Name, i.exchange.Incarnation, i.Settings.Duties.UsageWindow, i.Settings.Duties.UsageDue
-	d.usage.Lease, d.usage.Peers, d.usage.Store, d.usage.Platform = &d.lease, &i.exchange, i.Stores.Usage, i.Cloud
+	d.usage.Lease, d.usage.Peers, d.usage.Store, d.usage.Platform = &d.lease, &i.exchange, i.Stores.Usage, i.DutyClient
 	d.usage.Count, d.usage.Log = i.counters.Increment, i.Log
 	if d.reportsUsage() {
 		i.exchange.Usage = &d.usage
@@ -79,7 +79,7 @@
 
 // wanted reports whether this instance takes part in duties.
 func (d *duties) wanted() bool {
-	return d.instance.Settings.Duties.Any() && d.instance.Stores.Duties != nil && d.instance.Cloud != nil
+	return d.instance.Settings.Duties.Any() && d.instance.Stores.Duties != nil && d.instance.DutyClient != nil
 }
 
 // eligible reports whether this instance may claim the lease: it serves callers, so that it is
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -82,7 +82,7 @@
 	DecodeMove   func(c rwfeed.Change) (rwversion.Move, error)
 	Wire         rwforward.HeaderCodec
 	Engines      rwforward.EngineClient
-	Cloud        Cloud          // carries out the duties; nil if this instance has none
+	DutyClient   DutyClient     // carries out the duties; nil if this instance has none
 	Dialer       *rwpath.Dialer // connects to the backend servers
 	Log          logr.Logger
 
--- a/internal/rwpick/uneven_model_test.go
+++ b/internal/rwpick/uneven_model_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -302,11 +301,8 @@
 
 var staleness = []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second}
 
-// TestUnevenTable prints the table of docs/design/uneven.md if UNEVEN_TABLE is set.
-func TestUnevenTable(t *testing.T) {
-	if os.Getenv("UNEVEN_TABLE") == "" {
-		t.Skip("set UNEVEN_TABLE to print the table")
-	}
+// BenchmarkUnevenTable prints the table of docs/design/uneven.md. It checks nothing.
+func BenchmarkUnevenTable(*testing.B) {
 	for _, size := range unevenSizes {
 		for _, stale := range staleness {
 			fmt.Printf("| %d, %d | %v |", size.instances, size.servers, stale)
