--- a/internal/rwconn/conns_test.go
+++ b/internal/rwconn/conns_test.go
@@ -61,9 +61,13 @@
 	maxIdle  atomic.Int64
 }
 
-func newConnServer(t *testing.T) *connServer {
+// newConnServer starts a server. configure sets fields of its Conns before; nil for none.
+func newConnServer(t *testing.T, configure func(c *rwconn.Conns)) *connServer {
 	t.Helper()
 	s := &connServer{idle: make(chan struct{}, 8)}
+	if configure != nil {
+		configure(&s.conns)
+	}
 	s.maxIdle.Store(int64(time.Hour))
 	s.conns.MaxIdle = func() time.Duration { return time.Duration(s.maxIdle.Load()) }
 	var err error
@@ -132,7 +136,7 @@
 			"before it counts as active": func(s *connServer) *atomic.Pointer[func()] { return &s.onActive },
 		} {
 			t.Run(name+" "+when, func(t *testing.T) {
-				s := newConnServer(t)
+				s := newConnServer(t, nil)
 				c := s.dial(t)
 				require.True(t, exchange(t, c))
 				<-s.idle
@@ -148,7 +152,7 @@
 // TestIdleLimitShrinks guards against connections closed by a limit that callers could not
 // know when they kept them.
 func TestIdleLimitShrinks(t *testing.T) {
-	s := newConnServer(t)
+	s := newConnServer(t, nil)
 	c := s.dial(t)
 	require.True(t, exchange(t, c))
 	<-s.idle
@@ -161,7 +165,7 @@
 }
 
 func TestConnsShutdown(t *testing.T) {
-	s := newConnServer(t)
+	s := newConnServer(t, nil)
 	used, unused := s.dial(t), s.dial(t)
 	require.True(t, exchange(t, used))
 	<-s.idle
@@ -179,7 +183,7 @@
 // that are no request.
 func TestStrayBytes(t *testing.T) {
 	t.Parallel()
-	s := newConnServer(t)
+	s := newConnServer(t, nil)
 	c := s.dial(t)
 	require.True(t, exchange(t, c))
 	<-s.idle
--- a/internal/rwconn/crowd_test.go
+++ b/internal/rwconn/crowd_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ragwortwall/internal/rwaccount"
+	"ragwortwall/internal/rwconn"
 
 	"github.com/stretchr/testify/require"
 )
@@ -18,10 +19,10 @@
 // TestCrowdMakesRoom guards against connections that keep others out: of those that wait for
 // their clients, the ones that have waited longest are closed, and none whose request runs.
 func TestCrowdMakesRoom(t *testing.T) {
-	s := newConnServer(t)
-	s.conns.Max = 2
 	counted := make(chan string, 8)
-	s.conns.Count = func(name string) { counted <- name }
+	s := newConnServer(t, func(c *rwconn.Conns) {
+		c.Max, c.Count = 2, func(name string) { counted <- name }
+	})
 	silent, used := s.dial(t), s.dial(t)
 	require.True(t, exchange(t, used))
 	<-s.idle
@@ -35,8 +36,7 @@
 // TestHeadsShareMemory guards against heads that take the memory: further ones are refused as not
 // run, ordinary ones are served, and the memory is given back.
 func TestHeadsShareMemory(t *testing.T) {
-	s := newConnServer(t)
-	s.conns.Memory = rwaccount.NewMemory(2 << 20)
+	s := newConnServer(t, func(c *rwconn.Conns) { c.Memory = rwaccount.NewMemory(2 << 20) })
 	var fields strings.Builder
 	for n := range 2000 {
 		fmt.Fprintf(&fields, "x%d:\r\n", n)
@@ -69,7 +69,7 @@
 // TestRestOfBody guards against connections that stay open for the rest of a body that never
 // comes, after the request was answered.
 func TestRestOfBody(t *testing.T) {
-	s := newConnServer(t)
+	s := newConnServer(t, nil)
 	handler := s.conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/rwpeer/usage_test.go
+++ b/internal/rwpeer/usage_test.go
@@ -49,6 +49,8 @@
 			f.exchanges[0].AnswerUsage("entry-0-1", a)
 		}
 		time.Sleep(time.Second)
+		received.mu.Lock()
+		defer received.mu.Unlock()
 		require.Contains(t, received.messages, m)
 		require.Equal(t, "entry-0-0", received.from[0])
 		require.Contains(t, received.answers, a)
