--- a/internal/rwaccount/door.go
+++ b/internal/rwaccount/door.go
@@ -88,19 +88,32 @@
 		return raw, err
 	}
 	conn := &listenerConn{Conn: raw, listener: l, received: time.Now()}
+	silent := l.add(conn)
+	if silent != nil {
+		_ = silent.Conn.Close()
+		if l.Count != nil {
+			l.Count()
+		}
+	}
+	return conn, nil
+}
+
+// add adds a connection. It returns the one that is to be closed for it, or nil.
+func (l *Listener) add(conn *listenerConn) (silent *listenerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns == nil {
 		l.conns = map[*listenerConn]struct{}{}
 	}
 	if len(l.conns) >= l.Max {
-		l.closeSilentLocked()
+		silent = l.removeSilentLocked()
 	}
 	l.conns[conn] = struct{}{}
-	return conn, nil
+	return silent
 }
 
-func (l *Listener) closeSilentLocked() {
+// removeSilentLocked removes the connection that has received nothing for longest.
+func (l *Listener) removeSilentLocked() *listenerConn {
 	var silent *listenerConn
 	for conn := range l.conns {
 		if silent == nil || conn.received.Before(silent.received) {
@@ -108,10 +121,7 @@
 		}
 	}
 	delete(l.conns, silent)
-	_ = silent.Conn.Close()
-	if l.Count != nil {
-		l.Count()
-	}
+	return silent
 }
 
 type listenerConn struct {
