TestSettingsRestored checks again that the bypassing writes have their generations; schedules have no short form

Restore returns what it stored, and the test requires generations 2 and 3. The schedules of the lease always play 60 seeds (-short halved them; nothing used it).

--- a/internal/rwduty/schedule_test.go
+++ b/internal/rwduty/schedule_test.go
@@ -55,10 +55,7 @@
 // duties at a time, by the rules of the platform that checks numbers and of the one that doesn't,
 // and against duties that nobody takes up again.
 func TestRandomSchedules(t *testing.T) {
-	seeds := uint64(60)
-	if testing.Short() {
-		seeds = 30
-	}
+	const seeds = uint64(60)
 	for _, fenced := range []bool{false, true} {
 		t.Run(fmt.Sprint("fenced ", fenced), func(t *testing.T) {
 			calls := 0
--- a/internal/rwserve/restored_test.go
+++ b/internal/rwserve/restored_test.go
@@ -89,7 +89,9 @@
 					o.Spec = f.teamSpec(capacity)
 					replacements = append(replacements, o)
 				}
-				f.platform.Restore(replacements...)
+				for n, stored := range f.platform.Restore(replacements...) {
+					require.EqualValues(t, n+2, stored.Metadata.Generation, "the copy has generation 1")
+				}
 				c.between(f)
 				time.Sleep(10 * time.Second)
 				f.requireInForce("team", c.generation, c.text)
--- a/internal/rwstandin/platform.go
+++ b/internal/rwstandin/platform.go
@@ -140,8 +140,8 @@
 
 // Restore brings the contents of the last Copy back. All later writes are gone, and their
 // revisions and generations are given out again. Open watches end. The given objects then
-// replace those of the copy, one after the other, before any other write.
-func (p *Platform) Restore(replacements ...rwobject.Object) {
+// replace those of the copy, one after the other, before any other write. It returns them as stored.
+func (p *Platform) Restore(replacements ...rwobject.Object) (stored []rwobject.Object) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.objects = maps.Clone(p.copied)
@@ -153,8 +153,10 @@
 	p.changed = make(chan struct{})
 	for _, o := range replacements {
 		o.Metadata.ResourceVersion = p.objects[o.Kind+"/"+o.Metadata.Name].Metadata.ResourceVersion
-		p.applyLocked(http.MethodPut, o.Kind, o.Metadata.Name, o)
+		o, _ = p.applyLocked(http.MethodPut, o.Kind, o.Metadata.Name, o)
+		stored = append(stored, o)
 	}
+	return stored
 }
 
 func (p *Platform) serveAPI(w http.ResponseWriter, r *http.Request) {
