--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -24,11 +24,17 @@
 }
 
 why="regression before a landing"
+play "score wadi-script-now-grown" score "$kit/shifted/wadi-script-now-grown.toml" --why "$why"
+play "score bight-hq-grown" score "$kit/demands/bight-hq-grown.toml" --why "$why"
+play "score npq-quotes-grown" score "$kit/demands/npq-quotes-grown.toml" --why "$why"
 play "score wadi-script" score "$kit/sites/wadi-script.toml" --why "$why"
 play "score joto-layouts" score "$kit/sites/joto-layouts.toml" --why "$why"
 play "score wadi-script-grown" score "$kit/grown/wadi-script-grown.toml" --why "$why"
 play "score joto-layouts-grown" score "$kit/grown/joto-layouts-grown.toml" --why "$why"
 play "quick wadi-script-large" score "$kit/large/wadi-script-large.toml" --quick --why "$why"
+play "hunt wadi-script-now-grown" hunt "$kit/shifted/wadi-script-now-grown.toml" --days 8
+play "hunt bight-hq-grown" hunt "$kit/demands/bight-hq-grown.toml" --days 8
+play "hunt npq-quotes-grown" hunt "$kit/demands/npq-quotes-grown.toml" --days 8
 play "hunt wadi-script" hunt "$kit/sites/wadi-script.toml" --days 42
 play "hunt joto-layouts" hunt "$kit/sites/joto-layouts.toml" --days 42
 play "hunt wadi-script-grown" hunt "$kit/grown/wadi-script-grown.toml" --days 8
