--- /dev/null
+++ b/review/standins-2/model.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	streamEvents  = 120                    // events of each stream
+	eventInterval = 100 * time.Millisecond // between two events
+	prefillTime   = 300 * time.Millisecond // to read a prompt
+)
+
+// models are the model servers. They make up the text of each run anew, as a model does that
+// draws its words.
+type models struct {
+	world   *world
+	mu      sync.Mutex
+	servers map[string]*model // by address
+	origins map[string]string // the run whose text a run goes on with, by request id
+	sent    []sent            // the requests that servers ran
+}
+
+// sent is a request that a server ran.
+type sent struct {
+	id, from string // request id, and the run whose memory it went on from; empty for none
+}
+
+// model is a model server.
+type model struct {
+	all     *models
+	id      string
+	address string
+	born    int64
+	copies  map[string]int // events in the copies that it keeps for others, by run
+}
+
+// startModels starts a number of model servers in each zone.
+func startModels(w *world, zones []string, count int) (*models, error) {
+	m := &models{world: w, servers: map[string]*model{}, origins: map[string]string{}}
+	for _, zone := range zones {
+		for n := range count {
+			s := &model{all: m, id: fmt.Sprintf("i-%s-%d", zone, n+1), born: time.Now().UnixMilli(), copies: map[string]int{}}
+			address, err := w.serve(s)
+			if err != nil {
+				return nil, err
+			}
+			s.address = address
+			m.mu.Lock()
+			m.servers[address] = s
+			m.mu.Unlock()
+			w.store.Put("servers", s.id, map[string]any{
+				"service": modelService, "address": address, "zone": zone, "version": "v1", "slots": 12, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": s.born,
+			})
+		}
+	}
+	return m, nil
+}
+
+// ServeHTTP handles a request.
+func (s *model) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/ragwortwall/report":
+		reply(w, map[string]any{"born": s.born, "stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "sequence": 1, "queue_depth": 0, "active_requests": 0, "kv_used": 0, "kv_total": 55000, "handles": 0})
+	case r.URL.Path == "/ragwortwall/kv-list":
+		reply(w, map[string]any{"born": s.born, "epoch": 1, "next": 1, "held": []any{}})
+	case strings.HasPrefix(r.URL.Path, "/ragwortwall/"):
+		w.WriteHeader(http.StatusNotFound)
+	case r.URL.Path == "/healthz":
+		w.Header().Set("Ragwortwall-Instance-Id", s.id)
+	default:
+		s.stream(w, r)
+	}
+}
+
+// stream answers with the events after Last-Event-Id, from the memory that Kv-From names.
+func (s *model) stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Ragwortwall-Request-Id")
+	w.Header().Set("Ragwortwall-Request-Id", id)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if target := r.Header.Get("Ragwortwall-Target-Instance"); target != "" && target != s.id {
+		w.Header().Set("Ragwortwall-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	origin, wait := id, prefillTime
+	from := r.Header.Get("Kv-From")
+	if from != "" {
+		address, run, _ := strings.Cut(from, "/")
+		known := false
+		if origin, known = s.all.takeCopy(address, run); !known || address != s.address {
+			s.all.world.record("server %s refuses request %s: no copy %s", s.id, id, from)
+			w.Header().Set("Ragwortwall-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		from, wait = run, eventInterval
+	}
+	s.all.begin(sent{id, from}, origin)
+	s.all.world.record("server %s runs request %s after event %d, Kv-From run %q, Kv-Backup %q; the text is that of run %s", s.id, id, last, from, r.Header.Get("Ragwortwall-Kv-Backup"), origin)
+	pause(r, wait)
+	w.Header().Set("Ragwortwall-Upstream-Signature", "3e1b."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for event := last + 1; event <= streamEvents; event++ {
+		fmt.Fprintf(w, "id: %d\ndata: word %d of run %s\n\n", event, event, origin)
+		_ = http.NewResponseController(w).Flush()
+		s.all.keepCopy(r.Header.Get("Ragwortwall-Kv-Backup"), id, event)
+		pause(r, eventInterval)
+	}
+}
+
+// pause waits, and ends the request if its channel closes.
+func pause(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// begin records that a request runs, with the text of a run.
+func (m *models) begin(request sent, origin string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent = append(m.sent, request)
+	m.origins[request.id] = origin
+}
+
+// keepCopy records that the server at an address has the memory of a run up to an event.
+func (m *models) keepCopy(address, run string, event int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.servers[address]; ok {
+		s.copies[run] = event
+	}
+}
+
+// takeCopy uses up the copy of a run at the server at an address, and returns the run whose text
+// it holds.
+func (m *models) takeCopy(address, run string) (origin string, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.servers[address]
+	if !ok || s.copies[run] == 0 {
+		return "", false
+	}
+	delete(s.copies, run)
+	return m.origins[run], true
+}
+
+// ran returns the requests that servers ran.
+func (m *models) ran() []sent {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]sent(nil), m.sent...)
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
