--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,8 +10,9 @@
 
 // cases are the cases by the name that a script passes.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"memory": playMemory,
-	"route":  playRoute,
+	"memory":  playMemory,
+	"refused": playRefused,
+	"route":   playRoute,
 }
 
 // The exit codes of a script.
--- a/review/standins-2/memory.go
+++ b/review/standins-2/memory.go
@@ -16,12 +16,41 @@
 type requester struct {
 	world   *world
 	name    string
+	body    string
+	part    string                  // the last part of its prompt
 	nodes   func(try int) *instance // to which its n-th try goes
 	ids     []string                // of its tries
 	mu      sync.Mutex
 	last    int             // id of the last event that it has
 	origins map[string]bool // runs whose text it got
 	end     string          // what its last try ended with
+	cancel  func()          // ends its try
+	left    bool
+}
+
+// draft is what both requesters ask for.
+const draft = "draft the dairy aisle, Arabic and English, in the house style"
+
+func (q *requester) setCancel(cancel func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.cancel = cancel
+}
+
+// leave makes the requester close its channel for good.
+func (q *requester) leave() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.left = true
+	if q.cancel != nil {
+		q.cancel()
+	}
+}
+
+func (q *requester) hasLeft() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.left
 }
 
 // retryPause is a requester's pause between two tries.
@@ -35,23 +64,32 @@
 			time.Sleep(retryPause)
 		}
 		id := fmt.Sprintf("%016x", rand.Uint64())
+		q.mu.Lock()
 		q.ids = append(q.ids, id)
+		q.mu.Unlock()
 		node := q.nodes(try)
 		q.world.record("%s sends request %s to %s, Last-Event-Id %d", q.name, id, node.name, q.last)
 		q.end = q.ask(id, node.front)
 		q.world.record("%s: request %s ended: %s; it has %d events", q.name, id, q.end, q.last)
-		if q.last >= streamEvents {
+		if q.last >= streamEvents || q.hasLeft() {
 			return
 		}
 	}
 }
 
+// sentIDs returns the ids of its requests.
+func (q *requester) sentIDs() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return append([]string(nil), q.ids...)
+}
+
 // ask sends one request and reads the events.
 func (q *requester) ask(id, address string) string {
-	const body = "draft the dairy aisle, Arabic and English, in the house style"
 	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/bopu901/2f", strings.NewReader(body))
+	q.setCancel(cancel)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/bopu901/2f", strings.NewReader(q.body))
 	if err != nil {
 		return err.Error()
 	}
@@ -59,7 +97,7 @@
 	r.Header.Set("Ragwortwall-Request-Id", id)
 	r.Header.Set("Ragwortwall-Model", "m")
 	r.Header.Set("Ragwortwall-Token-Usage", "1460,960")
-	r.Header.Set("Ragwortwall-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	r.Header.Set("Ragwortwall-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,"+q.part+":250")
 	r.Header.Set("Ragwortwall-Request-Deadline", "25000")
 	r.Header.Set("Authorization", "Bearer "+key)
 	if q.last > 0 {
@@ -120,9 +158,9 @@
 		return false, err
 	}
 	time.Sleep(6 * time.Second) // the instances find each other
-	first := &requester{world: w, name: "requester 1", nodes: func(int) *instance { return w.get("front-amman-a-1") }}
+	first := &requester{world: w, name: "requester 1", body: draft, part: "e4402b7d", nodes: func(int) *instance { return w.get("front-amman-a-1") }}
 	// The second one's zone has two instances: a later try reaches the other one.
-	second := &requester{world: w, name: "requester 2", nodes: func(try int) *instance { return w.get(fmt.Sprintf("front-amman-b-%d", 1+min(1, try))) }}
+	second := &requester{world: w, name: "requester 2", body: draft, part: "e4402b7d", nodes: func(try int) *instance { return w.get(fmt.Sprintf("front-amman-b-%d", 1+min(1, try))) }}
 	var both sync.WaitGroup
 	both.Go(func() { first.run(3) })
 	time.Sleep(time.Second)
@@ -153,7 +191,7 @@
 // other.
 func foreign(w *world, servers *models, one, other *requester) bool {
 	found := false
-	for _, request := range servers.ran() {
+	for _, request := range servers.got() {
 		if request.from != "" && contains(one.ids, request.id) && contains(other.ids, request.from) {
 			w.record("MIXED: request %s of %s went on from the memory of request %s of %s", request.id, one.name, request.from, other.name)
 			found = true
--- a/review/standins-2/model.go
+++ b/review/standins-2/model.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,17 +28,21 @@
 	sent    []sent            // the requests that servers ran
 }
 
-// sent is a request that a server ran.
+// sent is a request that a server got.
 type sent struct {
-	id, from string // request id, and the run whose memory it went on from; empty for none
+	id, from     string // request id, and the run whose memory it went on from; empty for none
+	server, copy string // zones of the server and of the one that keeps the copy
+	refused      bool   // the server didn't run it
 }
 
-// model is a model server.
+// model is a process of a model server.
 type model struct {
 	all     *models
 	id      string
+	zone    string
 	address string
 	born    int64
+	http    *http.Server
 	copies  map[string]int // events in the copies that it keeps for others, by run
 }
 
@@ -46,23 +51,79 @@
 	m := &models{world: w, servers: map[string]*model{}, origins: map[string]string{}}
 	for _, zone := range zones {
 		for n := range count {
-			s := &model{all: m, id: fmt.Sprintf("i-%s-%d", zone, n+1), born: time.Now().UnixMilli(), copies: map[string]int{}}
-			address, err := w.serve(s)
+			listener, err := w.listen()
 			if err != nil {
 				return nil, err
 			}
-			s.address = address
-			m.mu.Lock()
-			m.servers[address] = s
-			m.mu.Unlock()
-			w.store.Put("servers", s.id, map[string]any{
-				"service": modelService, "address": address, "zone": zone, "version": "v1", "slots": 12, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": s.born,
-			})
+			m.start(fmt.Sprintf("i-%s-%d", zone, n+1), zone, listener).register()
 		}
 	}
 	return m, nil
 }
 
+// start starts a process of a server.
+func (m *models) start(id, zone string, listener net.Listener) *model {
+	s := &model{all: m, id: id, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), copies: map[string]int{}}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	m.mu.Lock()
+	m.servers[s.address] = s
+	m.mu.Unlock()
+	go func() { _ = s.http.Serve(listener) }()
+	return s
+}
+
+// register writes the server's entry.
+func (s *model) register() {
+	s.all.world.store.Put("servers", s.id, map[string]any{
+		"service": modelService, "address": s.address, "zone": s.zone, "version": "v1", "slots": 12, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": s.born,
+	})
+}
+
+const (
+	downTime     = 1200 * time.Millisecond // for which a server that crashed is down
+	registerTime = 800 * time.Millisecond  // until the store has the entry of a server that has started
+	silenceTime  = 3600 * time.Millisecond // three heartbeats: until the store removes the entry of one that is silent
+)
+
+// crash crashes the servers of a zone. They start again at their addresses, under new ids. It
+// returns when they serve.
+func (m *models) crash(zone string) error {
+	m.mu.Lock()
+	var down []*model
+	for address, s := range m.servers {
+		if s.zone == zone {
+			down = append(down, s)
+			delete(m.servers, address)
+		}
+	}
+	m.mu.Unlock()
+	for _, s := range down {
+		_ = s.http.Close()
+		time.AfterFunc(silenceTime, func() { m.world.store.Delete("servers", s.id) })
+	}
+	m.world.record("the %d servers of %s crash", len(down), zone)
+	time.Sleep(downTime)
+	for _, s := range down {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return err
+		}
+		time.AfterFunc(registerTime, m.start(s.id+"-again", zone, listener).register)
+	}
+	m.world.record("the %d servers of %s are back, under new ids", len(down), zone)
+	return nil
+}
+
+// zoneOf returns the zone of the server at an address.
+func (m *models) zoneOf(address string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.servers[address]; ok {
+		return s.zone
+	}
+	return ""
+}
+
 // ServeHTTP handles a request.
 func (s *model) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -87,6 +148,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if target := r.Header.Get("Ragwortwall-Target-Instance"); target != "" && target != s.id {
+		s.all.world.record("server %s at %s refuses request %s, which is for %s", s.id, s.address, id, target)
+		s.all.begin(sent{id: id, server: s.zone, refused: true}, "")
 		w.Header().Set("Ragwortwall-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -105,15 +168,16 @@
 		}
 		from, wait = run, eventInterval
 	}
-	s.all.begin(sent{id, from}, origin)
-	s.all.world.record("server %s runs request %s after event %d, Kv-From run %q, Kv-Backup %q; the text is that of run %s", s.id, id, last, from, r.Header.Get("Ragwortwall-Kv-Backup"), origin)
+	backup := r.Header.Get("Ragwortwall-Kv-Backup")
+	s.all.begin(sent{id: id, from: from, server: s.zone, copy: s.all.zoneOf(backup)}, origin)
+	s.all.world.record("server %s runs request %s after event %d, Kv-From run %q, Kv-Backup %q; the text is that of run %s", s.id, id, last, from, backup, origin)
 	pause(r, wait)
 	w.Header().Set("Ragwortwall-Upstream-Signature", "3e1b."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for event := last + 1; event <= streamEvents; event++ {
 		fmt.Fprintf(w, "id: %d\ndata: word %d of run %s\n\n", event, event, origin)
 		_ = http.NewResponseController(w).Flush()
-		s.all.keepCopy(r.Header.Get("Ragwortwall-Kv-Backup"), id, event)
+		s.all.keepCopy(backup, id, event)
 		pause(r, eventInterval)
 	}
 }
@@ -132,7 +196,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sent = append(m.sent, request)
-	m.origins[request.id] = origin
+	if !request.refused {
+		m.origins[request.id] = origin
+	}
 }
 
 // keepCopy records that the server at an address has the memory of a run up to an event.
@@ -157,8 +223,8 @@
 	return m.origins[run], true
 }
 
-// ran returns the requests that servers ran.
-func (m *models) ran() []sent {
+// got returns the requests that servers got.
+func (m *models) got() []sent {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return append([]sent(nil), m.sent...)
