--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,9 +10,10 @@
 
 // cases are the cases by the name that a script passes.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"memory":  playMemory,
-	"refused": playRefused,
-	"route":   playRoute,
+	"memory":   playMemory,
+	"refused":  playRefused,
+	"replaced": playReplaced,
+	"route":    playRoute,
 }
 
 // The exit codes of a script.
