--- a/review/standins-2/config.go
+++ b/review/standins-2/config.go
@@ -17,7 +17,7 @@
 )
 
 // configure writes the desired state.
-func configure(store *standin.Store, version int, routes []route) {
+func configure(store *standin.Store, routes []route) {
 	list := make([]any, 0, len(routes))
 	for _, r := range routes {
 		entry := map[string]any{
@@ -30,7 +30,7 @@
 		list = append(list, entry)
 	}
 	store.Put("config", "main", map[string]any{
-		"version": version, "routes": list,
+		"version": 1, "routes": list,
 		"services": []any{
 			map[string]any{"name": modelService, "health_check_path": "/healthz", "max_connections": 150, "engine": map[string]any{
 				"slots": 12, "kv_tokens": 55000, "backups": true, "moves": true, "handle_ttl_s": 4.0, "models": []any{map[string]any{"name": "m"}},
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,10 +10,11 @@
 
 // cases are the cases by the name that a script passes.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"memory":   playMemory,
-	"refused":  playRefused,
-	"replaced": playReplaced,
-	"route":    playRoute,
+	"memory":     playMemory,
+	"quarantine": playQuarantine,
+	"refused":    playRefused,
+	"replaced":   playReplaced,
+	"route":      playRoute,
 }
 
 // The exit codes of a script.
--- a/review/standins-2/memory.go
+++ b/review/standins-2/memory.go
@@ -149,7 +149,7 @@
 	if err := w.addInstances(map[string]int{"amman-a": 3, "amman-b": 2, "amman-c": 1}, zones); err != nil {
 		return false, err
 	}
-	configure(w.store, 1, []route{{name: "bopu901", kind: "stream", service: modelService, timeoutMS: 25000, aimMS: 4500, attempts: 5, gapMS: 700}})
+	configure(w.store, []route{{name: "bopu901", kind: "stream", service: modelService, timeoutMS: 25000, aimMS: 4500, attempts: 5, gapMS: 700}})
 	servers, err := startModels(w, zones, 2)
 	if err != nil {
 		return false, err
--- a/review/standins-2/model.go
+++ b/review/standins-2/model.go
@@ -25,7 +25,8 @@
 	mu      sync.Mutex
 	servers map[string]*model // by address
 	origins map[string]string // the run whose text a run goes on with, by request id
-	sent    []sent            // the requests that servers ran
+	sent    []sent            // the requests that servers got
+	crashes []time.Time       // of servers under a request
 }
 
 // sent is a request that a server got.
@@ -33,6 +34,7 @@
 	id, from     string // request id, and the run whose memory it went on from; empty for none
 	server, copy string // zones of the server and of the one that keeps the copy
 	refused      bool   // the server didn't run it
+	at           time.Time
 }
 
 // model is a process of a model server.
@@ -114,6 +116,43 @@
 	return nil
 }
 
+// crashing is what the body of a request has that crashes each server that begins to run it.
+const crashing = "crash"
+
+// backTime is how long such a server is down.
+const backTime = 2 * time.Second
+
+// crashUnder crashes the server under a request. It starts again at its address, under a new id.
+func (s *model) crashUnder(request string) {
+	m := s.all
+	m.mu.Lock()
+	down := m.servers[s.address] != s
+	if !down {
+		delete(m.servers, s.address)
+		m.crashes = append(m.crashes, time.Now())
+	}
+	m.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	m.world.record("request %s crashes server %s", request, s.id)
+	go func() {
+		_ = s.http.Close()
+		time.Sleep(backTime)
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			m.world.record("server %s can't start again: %v", s.id, err)
+			return
+		}
+		again := m.start(fmt.Sprintf("%s-%d", s.id[:len("i-amman-a-1")], time.Now().UnixMilli()), s.zone, listener)
+		time.AfterFunc(registerTime, func() {
+			again.register()
+			m.world.store.Delete("servers", s.id)
+		})
+	}()
+	panic(http.ErrAbortHandler)
+}
+
 // zoneOf returns the zone of the server at an address.
 func (m *models) zoneOf(address string) string {
 	m.mu.Lock()
@@ -144,7 +183,8 @@
 func (s *model) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Ragwortwall-Request-Id")
 	w.Header().Set("Ragwortwall-Request-Id", id)
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	var body strings.Builder
+	if _, err := io.Copy(&body, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if target := r.Header.Get("Ragwortwall-Target-Instance"); target != "" && target != s.id {
@@ -170,6 +210,10 @@
 	}
 	backup := r.Header.Get("Ragwortwall-Kv-Backup")
 	s.all.begin(sent{id: id, from: from, server: s.zone, copy: s.all.zoneOf(backup)}, origin)
+	if strings.Contains(body.String(), crashing) {
+		pause(r, wait)
+		s.crashUnder(id)
+	}
 	s.all.world.record("server %s runs request %s after event %d, Kv-From run %q, Kv-Backup %q; the text is that of run %s", s.id, id, last, from, backup, origin)
 	pause(r, wait)
 	w.Header().Set("Ragwortwall-Upstream-Signature", "3e1b."+id)
@@ -191,10 +235,25 @@
 	}
 }
 
+// awaitCrashes waits until requests have crashed a number of servers, and returns when the last of
+// these crashed.
+func (m *models) awaitCrashes(count int) (time.Time, error) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		m.mu.Lock()
+		crashes := m.crashes
+		m.mu.Unlock()
+		if len(crashes) >= count {
+			return crashes[count-1], nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("fewer than %d servers crashed", count)
+}
+
 // begin records that a request runs, with the text of a run.
 func (m *models) begin(request sent, origin string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	request.at = time.Now()
 	m.sent = append(m.sent, request)
 	if !request.refused {
 		m.origins[request.id] = origin
--- a/review/standins-2/rollout.go
+++ b/review/standins-2/rollout.go
@@ -80,7 +80,7 @@
 	if err := o.addInstances(map[string]int{"amman-a": 3, "amman-b": 2, "amman-c": 1}, o.zones); err != nil {
 		return nil, err
 	}
-	configure(o.store, 1, routes)
+	configure(o.store, routes)
 	if err := o.servers.start(o.zones, "v1"); err != nil {
 		return nil, err
 	}
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -177,6 +177,18 @@
 	return nil
 }
 
+// killAll kills all instances at once, and starts them again after a time.
+func (w *world) killAll(down time.Duration) error {
+	var all sync.WaitGroup
+	for _, i := range w.instances {
+		all.Go(i.kill)
+	}
+	all.Wait()
+	w.record("killed all instances")
+	time.Sleep(down)
+	return w.startAll()
+}
+
 // get returns the instance with a name.
 func (w *world) get(name string) *instance {
 	for _, i := range w.instances {
