A caller that comes back gets no other request's memory

Cause: each request of a caller has an id of its own, so that a run to resume was looked for by its content, and the only generation that the instance knew was taken for the caller's own. An instance that has just started, was cut off or lost a notice knows only one of several. Knowing of no other one is no evidence. It then also published the other caller's running stream as lost.

Change: a stream that comes back uses no memory of another request, whatever is known (Directory.RunToResume is gone). It goes on at the server of the newest run with the last part of its prompt, which has the prompt cached. A request's own instance still uses its copy after the loss of a server. Counters returned_stream_known, _found and _unknown take the place of generation_*.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -19,8 +19,8 @@
 	// runTTL is how long a run counts after it was placed, as its owner may have
 	// stopped without announcing its end: slightly above the longest route timeout in use.
 	runTTL = 30 * time.Second
-	// maxRunTime is how long a run whose end wasn't announced is remembered as one of its
-	// request. Generations may run for minutes.
+	// maxRunTime is how long a run whose end wasn't announced is remembered. Generations may
+	// run for minutes.
 	maxRunTime = 5 * time.Minute
 	// initialPrefillRate is the prefill rate assumed before the first measurement, in
 	// prompt tokens per second, as specified for the model servers.
--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -19,11 +19,12 @@
 	Ended         bool   `json:"ended,omitempty"`
 	Lost          bool   `json:"lost,omitempty"` // the stream did not complete; its copy may serve to resume it
 
-	// Request identifies what is generated: requests with the same one have the same
-	// content. It is empty in runs of builds that don't send it.
+	// Request is a digest of all that decides the output. Requests of different callers may have
+	// the same one: it counts what is asked for and says nothing about whose run it is. It is empty in
+	// runs of builds that don't send it.
 	Request string `json:"request,omitempty"`
-	// Generation is the same in all runs of one generation, that is of a request and the
-	// attempts that resumed it.
+	// Generation differs for each request. The former release reads it: it resumes a stream from the
+	// KV cache of the only generation that it knows for a Request.
 	Generation string `json:"generation,omitempty"`
 
 	// PrefillRate is set when a run has ended: how fast its server read the prompt, in prompt tokens
@@ -35,15 +36,10 @@
 	// of builds that don't send it, and of services whose streams are equally urgent.
 	Organisation string `json:"group,omitempty"`
 
-	placedAt     time.Time
-	endedAt      time.Time
-	ownerStopped bool // the run ended with its owner, which may not have told that it started
+	placedAt time.Time
+	endedAt  time.Time
 }
 
-// mayHaveSentEvents reports whether the caller may have events of the run, so that the caller
-// can resume it.
-func (r *Run) mayHaveSentEvents() bool { return !r.Ended || r.Started || r.ownerStopped }
-
 // hasStarted reports whether output has started, so that a copy of the KV cache can be
 // expected: either the owner reported the start, or enough time has passed for the
 // prefill. prefillRate is in tokens per second.
--- a/internal/rwbackend/runs.go
+++ b/internal/rwbackend/runs.go
@@ -1,10 +1,6 @@
 package rwbackend
 
-import (
-	"time"
-
-	"ragwortwall/pkg/rwset"
-)
+import "time"
 
 // PutRun adds or updates a run of this instance or of a peer. A run that has ended
 // is not changed any more.
@@ -91,7 +87,7 @@
 }
 
 // LatestRun returns the newest run whose prompt ends with the part of the given id. It may be
-// a run of another request: only the KV cache of the prompt may be used.
+// a run of another request: only the KV cache of the prompt may be used, never that of the output.
 func (d *Directory) LatestRun(part string) (Run, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -102,29 +98,6 @@
 	return d.copyRunLocked(r), true
 }
 
-// RunToResume returns the newest run of the generation that a request resumes, and how many
-// generations of requests with the same content are known. With more than one, or one that is
-// complete, ok is false: the memory of the wrong run would continue another caller's answer.
-func (d *Directory) RunToResume(request string) (run Run, generations int, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := rwset.New[string]()
-	var latest *Run
-	for _, r := range d.requests[request] {
-		if !r.mayHaveSentEvents() {
-			continue
-		}
-		known.Add(r.Generation)
-		if latest == nil || r.placedAt.After(latest.placedAt) {
-			latest = r
-		}
-	}
-	if len(known) != 1 || latest.Ended && !latest.Lost {
-		return Run{}, len(known), false
-	}
-	return d.copyRunLocked(latest), 1, true
-}
-
 // copyRunLocked returns a copy of a run in which Started is set if output can be expected.
 func (d *Directory) copyRunLocked(r *Run) Run {
 	run := *r
@@ -140,7 +113,7 @@
 	now := time.Now()
 	for _, r := range d.runs {
 		if r.Owner == owner && !r.Ended {
-			r.Ended, r.Lost, r.ownerStopped, r.endedAt = true, true, true, now
+			r.Ended, r.Lost, r.endedAt = true, true, now
 		}
 	}
 }
--- a/internal/rwforward/counters.go
+++ b/internal/rwforward/counters.go
@@ -77,17 +77,9 @@
 func (n *Counters) countRequest(k rwroute.Kind) { n.increment("requests_" + k.String()) }
 func (n *Counters) countSent(k rwroute.Kind)    { n.increment("sent_" + k.String()) }
 
-// countGenerations counts a resumed request by how many generations it may resume.
-func (n *Counters) countGenerations(known int) {
-	switch known {
-	case 0:
-		n.increment("generation_unknown")
-	case 1:
-		n.increment("generation_known")
-	default:
-		n.increment("generation_ambiguous")
-	}
-}
+// countReturn counts a request that resumes a stream by how the servers that have its prompt
+// cached were looked for: "known" from a run, "found" by asking servers, or "unknown".
+func (n *Counters) countReturn(prompt string) { n.increment("returned_stream_" + prompt) }
 
 func (n *Counters) countRefused(k rwroute.Kind, code rwerror.Kind) {
 	n.increment("refused_" + k.String() + "_" + string(code))
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -22,7 +22,6 @@
 	copies         copyManager
 	sequence       *rwrelay.Sequencer // filters events that the caller already has
 	identity       string             // of the request's content, see rwbackend.Run.Request
-	generation     string             // see rwbackend.Run.Generation
 	run            rwbackend.Run      // as last published to the other instances
 	head           *http.Response     // latest response that a server began; its header is sent with the first event
 	headerSent     bool               // the caller has received the response header
@@ -32,7 +31,7 @@
 	longestPause   time.Duration      // between two events, across servers
 	prefillRate    int                // see rwbackend.Run.PrefillRate
 	lastErr        error              // error of the latest failed attempt
-	promptHolders  []string           // ids of the servers that have the prompt cached: that of the previous run, or what HolderFinder found
+	promptHolders  []string           // ids of the servers that have the prompt cached, see findPromptHolders
 	endRejected    bool               // a server's end of the resumed stream was rejected, see rejectEnd
 	rejectedServer string             // the first server whose end was rejected, if it may be asked again; empty otherwise
 	mayHaveRun     bool               // a server may have run the request
@@ -59,14 +58,13 @@
 // lost, the stream continues on another one, if possible one that has its KV cache.
 func (c *call) serveStream() error {
 	c.f.Budget.Deposit(c.service.Name, retryBudgetRatio)
-	s := &stream{call: c, sequence: rwrelay.NewSequencer(c.info.Cursor, c.info.Resumed), identity: c.identity(), generation: digest(c.info.ID)}
+	s := &stream{call: c, sequence: rwrelay.NewSequencer(c.info.Cursor, c.info.Resumed), identity: c.identity()}
 	defer s.end()
 	if c.info.Resumed {
 		c.urgency = c.urgency.WithBegun()
 	}
-	if c.info.Resumed && !s.findPreviousRun() {
-		s.promptHolders = c.f.Finder.Find(c.r.Context(), c.service.Name, c.info.LastPart)
-		c.f.Log.Info("resumed stream is unknown to all instances", "request", c.info.ID, "holders", s.promptHolders, "cursor", c.info.Cursor, "took", time.Since(c.startedAt).Seconds())
+	if c.info.Resumed {
+		s.findPromptHolders()
 	}
 	for {
 		target, err := s.awaitTurn()
@@ -156,23 +154,29 @@
 	prefillTokens int    // prompt tokens to prefill first
 }
 
-// findPreviousRun looks up the run that the caller resumes, and otherwise a run that has the
-// same last part of the prompt, whose server has the prompt cached. It reports whether there
-// is one of them.
-func (s *stream) findPreviousRun() bool {
-	run, generations, ok := s.f.Directory.RunToResume(s.identity)
-	s.f.Counters.countGenerations(generations)
-	if ok && run.ID != s.info.ID {
-		s.run, s.generation = run, run.Generation
-	} else if run, ok = s.f.Directory.LatestRun(s.info.LastPart); !ok || run.ID == s.info.ID {
-		return false
+// findPromptHolders finds the servers that have the prompt of a stream that the caller resumes
+// cached: that of the newest known run with the same last part, or what the servers tell.
+//
+// No other request's KV cache is used. Each of a caller's requests has an id of its own, so that
+// a run with the same content may be another caller's, whoever else is known: an instance can't
+// know that there is no further one.
+func (s *stream) findPromptHolders() {
+	run, known := s.f.Directory.LatestRun(s.info.LastPart)
+	if known && run.ID != s.info.ID {
+		if run.Started {
+			s.promptHolders = []string{run.Server}
+		}
+		s.f.Counters.countReturn("known")
+		s.f.Log.Info("stream resumed", "request", s.info.ID, "run", run.ID, "server", run.Server, "owner", run.Owner, "started", run.Started, "cursor", s.info.Cursor)
+		return
 	}
-	if run.Started {
-		s.promptHolders = []string{run.Server}
+	s.promptHolders = s.f.Finder.Find(s.r.Context(), s.service.Name, s.info.LastPart)
+	if len(s.promptHolders) > 0 {
+		s.f.Counters.countReturn("found")
+	} else {
+		s.f.Counters.countReturn("unknown")
 	}
-	s.f.Log.Info("stream resumed", "request", s.info.ID, "identity", s.identity, "generations", generations, "run", run.ID, "known", s.run.ID != "",
-		"server", run.Server, "copy", run.Copy, "owner", run.Owner, "cursor", s.info.Cursor)
-	return true
+	s.f.Log.Info("resumed stream is unknown to all instances", "request", s.info.ID, "holders", s.promptHolders, "cursor", s.info.Cursor, "took", time.Since(s.startedAt).Seconds())
 }
 
 // nextTarget returns where the next attempt runs, or the error for the caller if there is
@@ -298,19 +302,14 @@
 
 // recordPlacement records and publishes where the stream now runs.
 func (s *stream) recordPlacement(target attemptTarget) {
-	previous := s.run
 	s.run = rwbackend.Run{
 		ID: s.info.ID, Owner: s.f.Directory.Self, Server: target.server.ID, Part: s.info.LastPart,
 		Prompt: s.info.Prompt, Output: s.info.MaxOutput, PrefillTokens: target.prefillTokens,
-		Request: s.identity, Generation: s.generation, Organisation: s.organisation(),
+		Request: s.identity, Generation: digest(s.info.ID), Organisation: s.organisation(),
 	}
 	if target.placement.Copied {
 		s.run.Copy = target.placement.Copy.ID
 	}
-	if previous.ID != "" && previous.ID != s.run.ID {
-		previous.Ended, previous.Lost = true, true
-		s.f.NotifyRun(previous)
-	}
 	s.f.NotifyRun(s.run)
 	s.copies.startAttempt(target)
 	if s.attempts > 1 || s.info.Resumed {
@@ -329,7 +328,7 @@
 
 // end publishes that this instance no longer relays the stream, and frees its copy.
 func (s *stream) end() {
-	if s.run.ID == "" || s.run.ID != s.info.ID {
+	if s.run.ID == "" {
 		return
 	}
 	s.run.Ended, s.run.PrefillRate = true, s.prefillRate
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -179,6 +179,7 @@
 	s.checkLimits()
 	s.checkStatements()
 	s.checkCuts()
+	s.checkMixed()
 	s.report.Prefills = s.fleet.Prefills()
 	return s.report, nil
 }
@@ -344,8 +345,8 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		prompt := fmt.Sprintf("%x%04x", caller+10, n)
 		session := fmt.Sprintf("5e55%x%04x", caller/callersPerSession, n)
-		if s.Former != "" {
-			session = prompt // former builds take another request of the session for this one
+		if s.Former == "" && n%2 == 0 {
+			prompt = session // its other callers ask for the same; former builds mix up such streams
 		}
 		s.readStream(ctx, c, session, prompt)
 	}
@@ -428,6 +429,13 @@
 	}
 }
 
+// checkMixed checks that no stream went on from the memory of another caller's.
+func (s *Soak) checkMixed() {
+	for _, id := range s.fleet.Mixed() {
+		s.addViolation("request %s went on from the memory of another caller's stream", id)
+	}
+}
+
 // runRevokedKeyOrders sends orders with standin.RevocableKey and checks that no order
 // runs that was sent more than standin.MaxRevocationDelay after the key's revocation.
 func (s *Soak) runRevokedKeyOrders(ctx context.Context) {
