News of runs have an order: a refused stream that another server takes is known again

What stayed: all instances took a server that ran such a stream for idle, for as long as it ran.

Cause: the instance says that the run has ended at the server that refused it, and again that it runs once another server takes it. PutRun dropped the second as late news: notices carry no order, and an end was final.

Change: news of a run carry a revision that its instance raises with each, and the highest counts; a run is known by its instance and id, so that no other instance can end it, as the former release does when it resumes a stream. Without a revision an end is final as before. A full notice with revisions still fits into a datagram (TestFullNoticeFits, now with all fields at their longest).

The fixture of TestTurns ended other instances' runs without naming them as the owner; it names them now.

--- a/internal/rwbackend/directory.go
+++ b/internal/rwbackend/directory.go
@@ -38,9 +38,9 @@
 	mu            sync.Mutex
 	servers       map[string]*Server
 	services      map[string][]*Server
-	runs          map[string]*Run            // by request id
+	runs          map[runKey]*Run
 	parts         map[string]*Run            // newest run by id of the last part of its prompt
-	requests      map[string]map[string]*Run // runs by Run.Request and request id
+	requests      map[string]map[runKey]*Run // runs by Run.Request
 	statements    map[process]*statements    // of the processes that have said something of themselves
 	prefillRate   float64                    // average, in prompt tokens per second
 	tokenInterval float64                    // average, in seconds
@@ -56,7 +56,7 @@
 func NewDirectory(self string) *Directory {
 	return &Directory{
 		Self: self, servers: map[string]*Server{}, services: map[string][]*Server{},
-		runs: map[string]*Run{}, parts: map[string]*Run{}, requests: map[string]map[string]*Run{}, demand: map[string]Demand{}, work: map[string]*work{}, queues: map[string]int{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
+		runs: map[runKey]*Run{}, parts: map[string]*Run{}, requests: map[string]map[runKey]*Run{}, demand: map[string]Demand{}, work: map[string]*work{}, queues: map[string]int{}, statements: map[process]*statements{}, prefillRate: initialPrefillRate, tokenInterval: initialTokenInterval.Seconds(), eventTokens: 1,
 	}
 }
 
@@ -87,7 +87,7 @@
 			break
 		}
 	}
-	s := &Server{Entry: e, said: d.statements[e.process()], activeRuns: map[string]*Run{}, copies: map[string]*Run{}}
+	s := &Server{Entry: e, said: d.statements[e.process()], activeRuns: map[runKey]*Run{}, copies: map[runKey]*Run{}}
 	if e.Leaving {
 		s.leavingSince = time.Now()
 	}
@@ -243,9 +243,9 @@
 	if age := now.Sub(s.loadAt); age < loadTTL {
 		v.OtherRequests = max(0, s.load.Running+s.load.Waiting-s.ownRequests)
 	}
-	for id, r := range s.activeRuns {
+	for key, r := range s.activeRuns {
 		if r.Ended || now.Sub(r.placedAt) > runTTL {
-			delete(s.activeRuns, id)
+			delete(s.activeRuns, key)
 			continue
 		}
 		v.Runs++
@@ -253,9 +253,9 @@
 		v.Backlog += r.pendingPrefill(now, d.prefillRate)
 		v.ServesSinceLoss = v.ServesSinceLoss || r.placedAt.After(s.lostAt) && r.hasStarted(now, d.prefillRate)
 	}
-	for id, r := range s.copies {
+	for key, r := range s.copies {
 		if now.Sub(r.placedAt) > runTTL || r.Ended && !r.Lost {
-			delete(s.copies, id)
+			delete(s.copies, key)
 			continue
 		}
 		v.Committed += r.maxTokens()
--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -213,7 +213,7 @@
 // holdsOwnRunLocked reports whether a server holds an active run of this instance
 // or a copy of one.
 func (d *Directory) holdsOwnRunLocked(s *Server) bool {
-	for _, held := range []map[string]*Run{s.activeRuns, s.copies} {
+	for _, held := range []map[runKey]*Run{s.activeRuns, s.copies} {
 		for _, r := range held {
 			if r.Owner == d.Self && !r.Ended {
 				return true
--- a/internal/rwbackend/run.go
+++ b/internal/rwbackend/run.go
@@ -19,6 +19,10 @@
 	Ended         bool   `json:"ended,omitempty"`
 	Lost          bool   `json:"lost,omitempty"` // the stream did not complete; its copy may serve to resume it
 
+	// Revision orders the news of a run: it rises with each. It is zero in runs of builds that don't
+	// send it.
+	Revision int `json:"revision,omitempty"`
+
 	// Request is a digest of all that decides the output. Requests of different callers may have
 	// the same one: it counts what is asked for and says nothing about whose run it is. It is empty in
 	// runs of builds that don't send it.
@@ -40,6 +44,21 @@
 	endedAt  time.Time
 }
 
+// runKey identifies a run: only the instance that relays it has news of it.
+type runKey struct{ owner, id string }
+
+func (r *Run) key() runKey { return runKey{r.Owner, r.ID} }
+
+// isSupersededBy reports whether later news of the same run replaces what is known of it. News may
+// come late, twice, in another order or not at all: what has come last in the owner's order counts. A run
+// that a server refused has ended, and runs again once another server takes it.
+func (r *Run) isSupersededBy(news *Run) bool {
+	if r.Revision == 0 && news.Revision == 0 {
+		return !r.Ended
+	}
+	return news.Revision > r.Revision
+}
+
 // hasStarted reports whether output has started, so that a copy of the KV cache can be
 // expected: either the owner reported the start, or enough time has passed for the
 // prefill. prefillRate is in tokens per second.
--- a/internal/rwbackend/runs.go
+++ b/internal/rwbackend/runs.go
@@ -2,18 +2,17 @@
 
 import "time"
 
-// PutRun adds or updates a run of this instance or of a peer. A run that has ended
-// is not changed any more.
+// PutRun adds or updates a run of this instance or of a peer, unless later news of it has come.
 func (d *Directory) PutRun(r Run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	old, known := d.runs[r.ID]
+	old, known := d.runs[r.key()]
 	if known {
-		r.placedAt = old.placedAt
-		if old.Ended {
+		if !old.isSupersededBy(&r) {
 			return
 		}
+		r.placedAt = old.placedAt
 		d.removeRunLocked(old)
 		d.forgetRequestLocked(old)
 	}
@@ -28,21 +27,21 @@
 	if !known {
 		d.countDemandLocked(run)
 	}
-	d.runs[r.ID] = run
+	d.runs[r.key()] = run
 	if r.Part != "" {
 		d.parts[r.Part] = run
 	}
 	if r.Request != "" {
 		if d.requests[r.Request] == nil {
-			d.requests[r.Request] = map[string]*Run{}
+			d.requests[r.Request] = map[runKey]*Run{}
 		}
-		d.requests[r.Request][r.ID] = run
+		d.requests[r.Request][r.key()] = run
 	}
 	if s, ok := d.servers[r.Server]; ok && !r.Ended {
-		s.activeRuns[r.ID] = run
+		s.activeRuns[r.key()] = run
 	}
 	if s, ok := d.servers[r.Copy]; ok && r.Copy != "" && (!r.Ended || r.Lost) {
-		s.copies[r.ID] = run
+		s.copies[r.key()] = run
 	}
 	d.expireRunsLocked(now)
 }
@@ -51,17 +50,17 @@
 // its copy. The run stays in d.runs.
 func (d *Directory) removeRunLocked(r *Run) {
 	if s, ok := d.servers[r.Server]; ok {
-		delete(s.activeRuns, r.ID)
+		delete(s.activeRuns, r.key())
 	}
 	if s, ok := d.servers[r.Copy]; ok {
-		delete(s.copies, r.ID)
+		delete(s.copies, r.key())
 	}
 }
 
 // forgetRequestLocked removes a run from those of its request.
 func (d *Directory) forgetRequestLocked(r *Run) {
 	runs := d.requests[r.Request]
-	if delete(runs, r.ID); len(runs) == 0 {
+	if delete(runs, r.key()); len(runs) == 0 {
 		delete(d.requests, r.Request)
 	}
 }
@@ -71,11 +70,11 @@
 func (d *Directory) expireRunsLocked(now time.Time) {
 	const maxChecked = 4
 	remaining := maxChecked
-	for id, r := range d.runs {
+	for key, r := range d.runs {
 		if now.Sub(r.placedAt) > maxRunTime || r.Ended && now.Sub(r.endedAt) > runTTL {
 			d.removeRunLocked(r)
 			d.forgetRequestLocked(r)
-			delete(d.runs, id)
+			delete(d.runs, key)
 			if d.parts[r.Part] == r {
 				delete(d.parts, r.Part)
 			}
--- a/internal/rwbackend/server.go
+++ b/internal/rwbackend/server.go
@@ -47,16 +47,16 @@
 	latency             float64   // moving average, in seconds
 	suspectUntil        time.Time // end of the back-off
 	consecutiveRefusals int
-	consecutiveLosses   int               // counted at most once per back-off
-	lostAt              time.Time         // the last loss
-	receivedAt          time.Time         // when it last sent a response or the first event of a stream
-	aliveAt             time.Time         // the latest time at which its process is known to have run
-	probedAt            time.Time         // when it was last selected for a probe by ServersToProbe
-	leavingSince        time.Time         // when its entry first said that it is leaving
-	removed             bool              // its entry is no longer listed
-	said                *statements       // what its process has said of itself; nil if nothing
-	activeRuns          map[string]*Run   // by request id
-	copies              map[string]*Run   // runs whose copy it holds, by request id
+	consecutiveLosses   int         // counted at most once per back-off
+	lostAt              time.Time   // the last loss
+	receivedAt          time.Time   // when it last sent a response or the first event of a stream
+	aliveAt             time.Time   // the latest time at which its process is known to have run
+	probedAt            time.Time   // when it was last selected for a probe by ServersToProbe
+	leavingSince        time.Time   // when its entry first said that it is leaving
+	removed             bool        // its entry is no longer listed
+	said                *statements // what its process has said of itself; nil if nothing
+	activeRuns          map[runKey]*Run
+	copies              map[runKey]*Run   // runs whose copy it holds
 	parts               rwset.Set[string] // ids of the prompt parts that it last reported to hold
 	partsAt             time.Time
 }
--- a/internal/rwforward/copies.go
+++ b/internal/rwforward/copies.go
@@ -95,7 +95,7 @@
 	s.f.Log.Info("copy lost, requesting another", "request", s.info.ID, "server", k.runServer.ID, "was", k.copyServer.ID, "next", server.ID)
 	k.copyServer, k.targetedAt, k.handle, k.requested = server.Entry, time.Now(), "", true
 	s.run.Copy = server.ID
-	s.f.NotifyRun(s.run)
+	s.publishRun()
 	return true
 }
 
--- a/internal/rwforward/relay.go
+++ b/internal/rwforward/relay.go
@@ -154,7 +154,7 @@
 	s.refusedLast = true
 	s.run.Copy = ""
 	s.run.Ended = true
-	s.f.NotifyRun(s.run)
+	s.publishRun()
 	s.run = rwbackend.Run{}
 }
 
@@ -248,7 +248,7 @@
 func (s *stream) recordFirstEvent(target attemptTarget, took time.Duration) {
 	s.run.Started = true
 	s.urgency = s.urgency.WithBegun()
-	s.f.NotifyRun(s.run)
+	s.publishRun()
 	s.f.Directory.RecordFirstEvent(target.server.ID)
 	s.recordVersionOutcome(target.server, false, took)
 	if target.server.Backlog == 0 && target.kvSource == "" && !s.info.Resumed {
--- a/internal/rwforward/stream.go
+++ b/internal/rwforward/stream.go
@@ -23,6 +23,7 @@
 	sequence       *rwrelay.Sequencer // filters events that the caller already has
 	identity       string             // of the request's content, see rwbackend.Run.Request
 	run            rwbackend.Run      // as last published to the other instances
+	revision       int                // of the latest news of the run
 	head           *http.Response     // latest response that a server began; its header is sent with the first event
 	headerSent     bool               // the caller has received the response header
 	eventsSent     int                // events sent to the caller
@@ -300,6 +301,13 @@
 	return rwerror.New(rwerror.KindFailed, "retry the request", "no backend server completed the stream").WithRan(rwerror.RanUnknown)
 }
 
+// publishRun publishes the current state of the run.
+func (s *stream) publishRun() {
+	s.revision++
+	s.run.Revision = s.revision
+	s.f.NotifyRun(s.run)
+}
+
 // recordPlacement records and publishes where the stream now runs.
 func (s *stream) recordPlacement(target attemptTarget) {
 	s.run = rwbackend.Run{
@@ -310,7 +318,7 @@
 	if target.placement.Copied {
 		s.run.Copy = target.placement.Copy.ID
 	}
-	s.f.NotifyRun(s.run)
+	s.publishRun()
 	s.copies.startAttempt(target)
 	if s.attempts > 1 || s.info.Resumed {
 		where := "anew"
@@ -333,7 +341,7 @@
 	}
 	s.run.Ended, s.run.PrefillRate = true, s.prefillRate
 	s.copies.stop(s)
-	s.f.NotifyRun(s.run)
+	s.publishRun()
 }
 
 // abortCallerLeft aborts the stream because the caller disconnected or this instance
--- a/internal/rwforward/turns_test.go
+++ b/internal/rwforward/turns_test.go
@@ -63,7 +63,7 @@
 }
 
 func (fleet *turnsFleet) free(n int) {
-	fleet.f.Directory.PutRun(rwbackend.Run{ID: fmt.Sprint("other", n), Server: fmt.Sprint("s", n), Prompt: 5000, Output: 1000, Started: true, Ended: true})
+	fleet.f.Directory.PutRun(rwbackend.Run{ID: fmt.Sprint("other", n), Owner: "old", Server: fmt.Sprint("s", n), Prompt: 5000, Output: 1000, Started: true, Ended: true})
 }
 
 // wait starts to wait for the turn of a stream.
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -242,7 +242,8 @@
 	} else {
 		x.ownRuns[r.ID] = r
 	}
-	if old.Started = r.Started; known && old == r {
+	old.Started, old.Revision = r.Started, r.Revision
+	if known && old == r {
 		return // Begun alone isn't announced: receivers infer it from the time passed
 	}
 	r.Owner = "" // receivers take the owner from Notice.From
--- a/internal/rwpeer/upgrade_test.go
+++ b/internal/rwpeer/upgrade_test.go
@@ -50,7 +50,7 @@
 func TestFullNoticeFits(t *testing.T) {
 	run := rwbackend.Run{
 		ID: "9c41d07be2a35f68", Server: "i-7f3a91c2", Copy: "i-7f3a91c3", Part: "e4402b7d", Prompt: 20_000, Output: 10_000, PrefillTokens: 20_000,
-		Started: true, Ended: true, Lost: true, Request: "AAAAAAAAAAAAAAAA", Generation: "AAAAAAAAAAAAAAAA",
+		Started: true, Ended: true, Lost: true, Revision: 100, PrefillRate: 10_000, Organisation: "AAAAAA", Request: "AAAAAAAAAAAAAAAA", Generation: "AAAAAAAAAAAAAAAA",
 	}
 	n := Notice{From: "front-amman-a-1", Incarnation: 1_800_000_000_000, Relay: true}
 	for range maxRunsPerNotice {
