The end of a connection ends a response only if its request was written

Callers saw, on systems like ours and here as well: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the whole answer, of an order as of a read (MIXED).

Cause: the system tells the error of a reset once. The write of the upload got it, and the read an end, which is all that ends a response without a length. The result of the write was ignored.

Change: such an end counts only if the request was written without an error; if that is still open, the result is waited for as long as the server may be silent. An instance that relays a connection passes a clean end on only if none of its writes to the server has failed: the same cause on the related path.

--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -47,6 +47,7 @@
 	wrote     chan error // gets the result of writing the request
 	owns      func(http.Header) bool
 	responded bool // bytes were received
+	written   bool // the result of writing the request was received
 }
 
 // ErrAborted is returned by reads after the connection was closed by Abort.
@@ -282,7 +283,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		response.Body = &body{ReadCloser: response.Body, conn: c, mayBeCut: c.relayed && !c.endsCleanly && endsWithConnection(response)}
+		response.Body = &body{ReadCloser: response.Body, conn: c, endsWithConnection: endsWithConnection(response)}
 		if owns != nil && !owns(response.Header) {
 			if err := discardBody(response); err != nil {
 				return nil, OutcomeUnknown, err
@@ -291,7 +292,7 @@
 		}
 		select {
 		case err = <-c.pending.wrote:
-			c.requestComplete = err == nil
+			c.recordWritten(err)
 		default:
 			// The response arrived before the request was written completely. The
 			// rest of the body is still sent, but the connection is not reused.
@@ -303,13 +304,43 @@
 	return nil, OutcomeUnknown, ErrNoOwnResponse
 }
 
+// recordWritten records the result of writing the request.
+func (c *Conn) recordWritten(err error) {
+	c.requestComplete = err == nil
+	c.pending.written = true
+}
+
+// awaitWritten reports whether the request was written without an error. It waits for the result
+// as long as the SilenceFunc allows.
+func (c *Conn) awaitWritten() bool {
+	for !c.pending.written {
+		wait, err := c.onSilence(time.Since(c.silentSince))
+		if err != nil {
+			return false
+		}
+		select {
+		case err := <-c.pending.wrote:
+			c.recordWritten(err)
+		case <-time.After(max(minReadTimeout, wait)):
+		}
+	}
+	return c.requestComplete
+}
+
+// endsWhole reports whether the end of the connection ends a response that nothing else ends. A
+// relay that doesn't end cleanly may have been killed. A reset is told only once: if the request was
+// still being written, the write got it, and the read an end that looks clean.
+func (c *Conn) endsWhole() bool {
+	return (!c.relayed || c.endsCleanly) && c.awaitWritten()
+}
+
 // body is the body of a response. If it is closed before its end, it closes the
 // connection: otherwise Close would read the rest, which may never end.
 type body struct {
 	io.ReadCloser
-	conn     *Conn
-	ended    bool
-	mayBeCut bool // its end doesn't show that it is whole
+	conn               *Conn
+	ended              bool
+	endsWithConnection bool // nothing else ends it
 }
 
 // endsWithConnection reports whether nothing else ends a response.
@@ -320,7 +351,7 @@
 // Read reads from the body.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if b.mayBeCut && errors.Is(err, io.EOF) {
+	if b.endsWithConnection && errors.Is(err, io.EOF) && !b.conn.endsWhole() {
 		return n, io.ErrUnexpectedEOF
 	}
 	b.ended = b.ended || errors.Is(err, io.EOF)
--- a/internal/rwpath/relay.go
+++ b/internal/rwpath/relay.go
@@ -50,6 +50,8 @@
 	// relayHeaderTimeout limits the head of a question to a relay.
 	relayHeaderTimeout = 2 * time.Second
 	relayHeaderBytes   = 4 << 10
+	// lastWriteTimeout limits a write to a server that has ended its side of the connection.
+	lastWriteTimeout = time.Second
 )
 
 // relayKeepAlive ends a relayed connection whose other end has lost power.
@@ -358,18 +360,45 @@
 		return
 	}
 	var fromCaller sync.WaitGroup
+	toServer := &checkedWriter{Conn: upstream}
 	fromCaller.Go(func() {
 		// When the caller closes, the server must stop its work.
-		_, _ = copyBytes(upstream, io.MultiReader(io.LimitReader(buffered, int64(buffered.Reader.Buffered())), raw))
+		_, _ = copyBytes(toServer, io.MultiReader(io.LimitReader(buffered, int64(buffered.Reader.Buffered())), raw))
 		_ = upstream.Close()
 	})
-	if _, err := copyBytes(raw, upstream); err == nil {
+	if _, err := copyBytes(raw, upstream); err == nil && toServer.isSound() {
 		endCleanly(raw)
 	}
 	_ = raw.Close()
 	fromCaller.Wait()
 }
 
+// checkedWriter writes to a server and remembers whether that failed.
+type checkedWriter struct {
+	net.Conn
+
+	mu     sync.Mutex // held while a write is under way
+	failed bool
+}
+
+// Write writes to the server.
+func (w *checkedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.Conn.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
+// isSound reports whether no write has failed. One that is under way may take lastWriteTimeout.
+// A reset is told only once: if a write got it, the end that a read gets looks clean.
+func (w *checkedWriter) isSound() bool {
+	_ = w.SetWriteDeadline(time.Now().Add(lastWriteTimeout)) // fails only on a closed connection
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.failed
+}
+
 // copyBytes is io.Copy with a small buffer.
 func copyBytes(to io.Writer, from io.Reader) (int64, error) {
 	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, relayBufferBytes))
--- a/internal/rwservice/proxy_test.go
+++ b/internal/rwservice/proxy_test.go
@@ -80,6 +80,12 @@
 
 // serveTargets is serveTimes for calls with the given targets.
 func serveTargets(t *testing.T, targets []string, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
+	t.Helper()
+	return serveBody(t, "order", targets, method, handlers...)
+}
+
+// serveBody is serveTargets for calls with the given body.
+func serveBody(t *testing.T, body string, targets []string, method string, handlers ...http.HandlerFunc) (*httptest.ResponseRecorder, *service, *ledger) {
 	t.Helper()
 	s, l := &service{}, &ledger{}
 	team := rwtree.Team{Servers: map[string]rwtree.Server{}, Routes: map[string]rwtree.Route{}}
@@ -123,14 +129,18 @@
 		Suspicions: &rwpoison.Registry{}, NotifySuspicion: func(rwpoison.Suspicion) {},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			var d net.Dialer
-			return d.DialContext(ctx, "tcp", address)
+			c, err := d.DialContext(ctx, "tcp", address)
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetWriteBuffer(4 << 10) // long bodies don't fit
+			}
+			return c, err
 		},
 	}
 	named, ok := tree.Route("team/orders")
 	require.True(t, ok)
 	var w *httptest.ResponseRecorder
 	for n, target := range targets {
-		request := httptest.NewRequest(method, target, strings.NewReader("order"))
+		request := httptest.NewRequest(method, target, strings.NewReader(body))
 		request.Header.Set("Idempotency-Key", fmt.Sprint("k", n))
 		request.Header.Set("Authorization", "Bearer secret")
 		request.Header.Set("Connection", "close")
@@ -314,3 +324,27 @@
 		require.Equal(t, []rwonce.State{rwonce.StateSent}, l.states, "the outcome must stay unknown")
 	})
 }
+
+// TestEarlyResponse guards against the part of a response that is taken for the whole: the service
+// sent it before it had read the body, and reset the connection.
+func TestEarlyResponse(t *testing.T) {
+	early := func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
+		time.Sleep(10 * time.Millisecond)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	const plays = 5 // which of the write and the read gets the error of the reset differs
+	for range plays {
+		w, s, l := serveBody(t, strings.Repeat("x", 2<<20), []string{"/orders/new?x=1"}, http.MethodPost, early, echo)
+		require.Equal(t, http.StatusBadGateway, w.Code)
+		require.Len(t, s.calls, 1)
+		require.Equal(t, []rwonce.State{rwonce.StateSent}, l.states, "the outcome must stay unknown")
+	}
+}
