A response without a status of HTTP is none

Callers saw, on systems like ours: an answer with the status 000.

Cause: http.ReadResponse takes any three digits. All below 200 counted as interim responses, which have no body, so that the body was read as the head of the next response.

Change: the first line is one of HTTP/1.x with a status from 100 to 599 that isn't 101, or the exchange fails. Orders to engines of the own interface and operators' commands took everything below 400 for a success; now only 2xx.

--- a/internal/rwcommand/client.go
+++ b/internal/rwcommand/client.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		if e, ok := rwerror.FromAnswer(content); ok {
 			return e
 		}
--- a/internal/rwengine/client.go
+++ b/internal/rwengine/client.go
@@ -170,7 +170,7 @@
 		return connectionError(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return statusError(response)
 	}
 	if result == nil {
--- a/internal/rwlink/conn.go
+++ b/internal/rwlink/conn.go
@@ -280,6 +280,9 @@
 		if err != nil {
 			return nil, OutcomeUnknown, err
 		}
+		if !isHTTP(response) {
+			return nil, OutcomeUnknown, ErrNoHTTP
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -304,6 +307,13 @@
 	return nil, OutcomeUnknown, ErrNoOwnResponse
 }
 
+// isHTTP reports whether the first line of a response is one of HTTP/1.x and its status one that may
+// be passed on or precede a final response. http.ReadResponse takes any three digits.
+func isHTTP(response *http.Response) bool {
+	const minStatus, maxStatus = 100, 599
+	return response.ProtoMajor == 1 && response.StatusCode >= minStatus && response.StatusCode <= maxStatus && response.StatusCode != http.StatusSwitchingProtocols
+}
+
 // recordWritten records the result of writing the request.
 func (c *Conn) recordWritten(err error) {
 	c.requestComplete = err == nil
@@ -370,6 +380,10 @@
 // ErrNoOwnResponse is returned if the server keeps sending responses to other requests.
 var ErrNoOwnResponse = rwerror.New(rwerror.KindFailed, "contact the operators", "the server sent only responses to other requests")
 
+// ErrNoHTTP is returned if the first line of a response is not one of HTTP/1.x, or its status is none
+// of HTTP.
+var ErrNoHTTP = rwerror.New(rwerror.KindFailed, "check the backend server", "the response has no version or status of HTTP")
+
 const (
 	// maxInlineBody is the largest body, in bytes, that is written before the
 	// response is read. The write doesn't block, as servers' receive windows are
