--- a/internal/rwbackend/runs_test.go
+++ b/internal/rwbackend/runs_test.go
@@ -40,6 +40,20 @@
 			})
 		})
 	}
+	t.Run("one runs for minutes", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := directory("a", "b")
+			d.PutRun(run("r1"))
+			time.Sleep(2 * time.Minute)
+			latest, ok := d.LatestRun("session")
+			require.True(t, ok)
+			require.Equal(t, "r1", latest.ID)
+			d.PutRun(run("r2"))
+			latest, ok = d.LatestRun("session")
+			require.True(t, ok)
+			require.Equal(t, "r2", latest.ID)
+		})
+	})
 	t.Run("runs are forgotten", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			d := directory("a", "b")
