The age of the settings decides when an instance asks the store, not a search for peers

Cause: an instance counted as following until a round over its peers had ended, and didn't call the store while it counted so. A round takes 0.3 s for each listed instance that is gone. The limit on the age of a peer's settings, 2.8 s, lay above the bound besides.

Change: rwfeed.Recency derives from the bound after which lag an instance calls the store, whatever its search does. A watch that ended without a change confirms the settings until its end (keys still go by the age), a poll ends when the peer's settings are confirmed anew, and an overdue watch is given up for a call that is answered at once. Peers that the store doesn't answer confirm nothing; an instance counts as one that it answers by settings and servers.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -8,14 +8,11 @@
 	"time"
 
 	"ragwortwall/internal/rwfeed"
+	"ragwortwall/internal/rwtime"
 )
 
 // Timing of the watches on the store and of the fallbacks between store and peers.
 const (
-	// stateWatchTimeout is the long-poll timeout of a watch on the desired state. It
-	// adds to the age of the confirmed state, so it must stay well below
-	// Settings.RevocationBound.
-	stateWatchTimeout = 1200 * time.Millisecond
 	// serversWatchTimeout is the long-poll timeout of a watch on the backend servers.
 	serversWatchTimeout = 2500 * time.Millisecond
 	// serversBatchDelay is the pause after a watch that returned changes of the
@@ -31,18 +28,9 @@
 	// quarantinesWatchTimeout is the long-poll timeout of a watch on the quarantines. A
 	// new one ends the wait.
 	quarantinesWatchTimeout = 25 * time.Second
-	// peerFallbackAge is the age of the desired state from which a watcher that gets
-	// no confirmation from the store also follows its peers.
-	peerFallbackAge = 1800 * time.Millisecond
 	// storeFallbackDelay is how long a new instance follows its peers before it may watch
 	// the store itself, if it has what it needs to serve callers.
 	storeFallbackDelay = 900 * time.Millisecond
-	// storeCallReserve is kept of Settings.SettingsBound for the call to the store by an
-	// instance that has lost the peer that it followed.
-	storeCallReserve = 250 * time.Millisecond
-	// minFallbackSpread is the shortest time over which such instances spread their calls,
-	// and the one without Settings.SettingsBound.
-	minFallbackSpread = 100 * time.Millisecond
 	// maxOtherPeers is the number of instances without the role of a watcher that are
 	// asked beside the watchers: one of them may reach the store while no watcher does.
 	maxOtherPeers = 3
@@ -81,16 +69,25 @@
 	follower                 rwfeed.Follower
 	peerServer               rwfeed.PeerServer
 	sourceChanged            rwfeed.Signal // the store or the followed peer no longer answers, or does again
+	recency                  rwfeed.Recency
 	instance                 *Instance
 	started                  time.Time
 
-	mu              sync.Mutex
-	storeFallbackAt time.Time // earliest time at which an instance that is not a watcher may call the store
-	fallback        bool      // this instance calls the store although it is not a watcher
+	mu       sync.Mutex
+	deadline fallbackDeadline
+	fallback bool // this instance calls the store although it is not a watcher
+}
+
+// fallbackDeadline is when an instance that is not a watcher calls the store itself, unless a
+// peer confirms its settings anew.
+type fallbackDeadline struct {
+	at    rwtime.BootTime // zero if none is set
+	timer *time.Timer     // wakes the watchers then
 }
 
 func (f *feeds) build(i *Instance) {
 	f.instance, f.started = i, time.Now()
+	f.recency = rwfeed.Recency{Bound: i.Settings.SettingsBound}
 	f.desiredState.Decode, f.desiredState.Log = i.DecodeState, i.Log
 	f.serverList.Directory, f.serverList.Decode, f.serverList.Log = i.directory, i.DecodeServer, i.Log
 	f.serverList.ExpiryTime = missedHeartbeats * i.Settings.HeartbeatInterval
@@ -120,16 +117,16 @@
 		f.watchers = append(f.watchers, w)
 		return w
 	}
-	watch(&f.states, i.Stores.States, stateWatchTimeout, 0)
+	watch(&f.states, i.Stores.States, f.recency.WatchWait(), 0)
 	servers := watch(&f.servers, i.Stores.Servers, serversWatchTimeout, serversBatchDelay)
 	watch(&f.members, i.Stores.Members, membersWatchTimeout, time.Second)
 	watch(&f.moves, i.Stores.Moves, movesWatchTimeout, 0)
 	watch(&f.quarantines, i.Stores.Quarantines, quarantinesWatchTimeout, 0)
 	f.serverList.StoreRecoveredAt, f.serverList.Age = servers.RecoveredAt, f.servers.Age
 	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves, &f.quarantines}
-	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Lost: f.scheduleFallback, Wake: &f.sourceChanged, Log: i.Log}
+	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Wake: &f.sourceChanged, Recency: f.recency, Confirmed: f.putOffFallback, Log: i.Log}
 	f.peerServer = rwfeed.PeerServer{
-		Address: i.Settings.PeerAddress, Caches: caches, Current: f.stateWatcher.Current, Changed: &f.sourceChanged, Log: i.Log,
+		Address: i.Settings.PeerAddress, Caches: caches, Current: func() bool { return f.stateWatcher.Current() && servers.Current() }, Changed: &f.sourceChanged, Log: i.Log,
 		MaxConns: i.shares.Peers, CountClosed: func() { i.countCrowd("peers_closed") },
 	}
 }
@@ -156,17 +153,18 @@
 	return members.SeedsWatch() && f.isSeed() || members.Count() > 1 && members.IsWatcher()
 }
 
-// storeFallbackDue reports whether an instance that is not a watcher may call the
-// store now. If its peers answer but have nothing newer, a random delay spreads
-// the calls of such instances.
+// storeFallbackDue reports whether an instance that is not a watcher may call the store now:
+// no peer has confirmed its settings for Recency.Deadline. What it does meanwhile to find one
+// has no part in that.
 func (f *feeds) storeFallbackDue() bool {
 	age, _ := f.states.Age()
+	lag, _ := f.states.Lag()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	due := f.storeFallbackDueLocked()
 	if due != f.fallback {
 		f.fallback = due
-		f.instance.Log.Info("source of the objects changed", "store", due, "peer", f.follower.Address(), "responds", f.follower.PeerResponded(), "age", age.Seconds(), "version", f.version())
+		f.instance.Log.Info("source of the objects changed", "store", due, "peer", f.follower.Address(), "responds", f.follower.PeerResponded(), "age", age.Seconds(), "lag", lag.Seconds(), "version", f.version())
 	}
 	return due
 }
@@ -186,41 +184,39 @@
 }
 
 func (f *feeds) storeFallbackDueLocked() bool {
-	if f.follower.Following() {
-		f.storeFallbackAt = time.Time{}
-		return false
-	}
 	if !f.canServe() {
 		if f.instance.Settings.Bootstrap {
 			return time.Since(f.started) > bootstrapFallbackDelay
 		}
 		return time.Since(f.started) > startupFallbackDelay
 	}
-	if time.Since(f.started) < storeFallbackDelay {
-		return false
-	}
-	if f.storeFallbackAt.IsZero() {
-		f.storeFallbackAt = time.Now()
+	if f.deadline.at == 0 {
+		left := storeFallbackDelay - time.Since(f.started)
 		if f.follower.PeerResponded() {
-			f.storeFallbackAt = f.storeFallbackAt.Add(rand.N(f.fallbackSpread()))
+			left += rand.N(f.recency.Spread())
 		}
-		time.AfterFunc(time.Until(f.storeFallbackAt), f.sourceChanged.Notify)
+		f.setDeadlineLocked(left)
 	}
-	return !time.Now().Before(f.storeFallbackAt)
+	return rwtime.Now() >= f.deadline.at
 }
 
-// fallbackSpread returns the time over which instances spread their first calls to the
-// store after they have lost the peers that they followed: what Settings.SettingsBound
-// leaves after the longest time until that shows.
-func (f *feeds) fallbackSpread() time.Duration {
-	return max(minFallbackSpread, f.instance.Settings.SettingsBound-stateWatchTimeout-rwfeed.OverdueMargin-storeCallReserve)
+// putOffFallback sets the deadline anew after a peer has confirmed the settings. The random
+// part spreads the calls of instances that lose the same peer.
+func (f *feeds) putOffFallback() {
+	lag, known := f.follower.Lag()
+	if !known {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.setDeadlineLocked(f.recency.Deadline(rand.Float64()) - lag)
 }
 
-// scheduleFallback wakes the watchers of an instance that has lost the peer that it
-// followed, so that they call the store if no other peer is found.
-func (f *feeds) scheduleFallback() {
-	f.storeFallbackDue()
-	f.sourceChanged.Notify()
+func (f *feeds) setDeadlineLocked(left time.Duration) {
+	if f.deadline.timer != nil {
+		f.deadline.timer.Stop()
+	}
+	f.deadline = fallbackDeadline{rwtime.Now() + rwtime.BootTime(left), time.AfterFunc(left, f.sourceChanged.Notify)}
 }
 
 func (f *feeds) isSeed() bool {
@@ -243,10 +239,10 @@
 const maxWatcherBackoff = 600 * time.Millisecond
 
 // stale reports whether this instance is a watcher that the store doesn't answer, or whose
-// last confirmation by the store is older than peerFallbackAge.
+// next confirmation by the store is overdue.
 func (f *feeds) stale() bool {
-	age, known := f.states.Age()
-	return f.instance.members.IsWatcher() && known && (age >= peerFallbackAge || !f.stateWatcher.Current())
+	lag, known := f.states.Lag()
+	return f.instance.members.IsWatcher() && known && (lag >= f.recency.Overdue() || !f.stateWatcher.Current())
 }
 
 // peersToFollow returns the addresses of the peers to follow now; none for a watcher
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -42,6 +42,8 @@
 		_, _ = fmt.Fprintf(w, "ragwortwall_store_era %d\n", i.Stores.Era.Current())
 		if age, known := i.feeds.states.Age(); known {
 			_, _ = fmt.Fprintf(w, "ragwortwall_settings_age %d\n", age.Milliseconds())
+			lag, _ := i.feeds.states.Lag()
+			_, _ = fmt.Fprintf(w, "ragwortwall_settings_lag %d\n", lag.Milliseconds())
 		}
 	})
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/rwfeed/cache.go
+++ b/internal/rwfeed/cache.go
@@ -63,6 +63,7 @@
 	position          Position
 	compactedRevision int64           // a follower of the same era with an older revision gets a full list, as later deletions are no longer kept
 	confirmed         rwtime.BootTime // when the store last confirmed the contents; zero if it never did
+	complete          rwtime.BootTime // until when the contents hold every acknowledged change, see Lag
 	changed           chan struct{}   // closed when the next batch is accepted
 }
 
@@ -87,6 +88,12 @@
 // and changes nothing if the batch is older than the cache, or has only some of the
 // objects of a newer era. The contents count as confirmed once Apply has returned.
 func (c *Cache) Update(b Batch, confirmedAt rwtime.BootTime) bool {
+	return c.UpdateComplete(b, confirmedAt, confirmedAt)
+}
+
+// UpdateComplete applies a batch like Update. With it, the contents hold every change that
+// the store acknowledged until complete, which is not before confirmedAt.
+func (c *Cache) UpdateComplete(b Batch, confirmedAt, complete rwtime.BootTime) bool {
 	c.updating.Lock()
 	defer c.updating.Unlock()
 	outdated := c.outdatedChanges(b)
@@ -100,6 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.confirmed = max(c.confirmed, confirmedAt)
+	c.complete = max(c.complete, complete)
 	if c.changed != nil {
 		close(c.changed)
 		c.changed = nil
@@ -204,6 +212,16 @@
 	return rwtime.Since(c.confirmed), c.confirmed > 0
 }
 
+// Lag returns the time since which the contents may lack changes that the store has
+// acknowledged, and whether there are contents. Unlike Age it trusts the store to end a
+// watch as soon as there is a change: a watch that ended without any proves that there was
+// none until then.
+func (c *Cache) Lag() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return rwtime.Since(c.complete), c.confirmed > 0
+}
+
 // Position returns the store's position of the contents, or the zero position if there
 // are none.
 func (c *Cache) Position() Position {
@@ -212,17 +230,22 @@
 	return c.position
 }
 
-// changesSince returns the changes after a position, when the contents were last
-// confirmed, and a channel that is closed when the next batch is accepted. It returns
-// zero values for the first two if the cache is empty or older than the position.
-func (c *Cache) changesSince(position Position) (Batch, rwtime.BootTime, <-chan struct{}) {
+// contents are the changes of a cache after a position, and how recent they are.
+type contents struct {
+	Batch
+	confirmed, complete rwtime.BootTime // see Age and Lag; zero if the cache is empty or older than the position
+}
+
+// changesSince returns the changes after a position, and a channel that is closed when the
+// next batch is accepted.
+func (c *Cache) changesSince(position Position) (contents, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.changed == nil {
 		c.changed = make(chan struct{})
 	}
 	if c.confirmed == 0 || c.position.Before(position) {
-		return Batch{}, 0, c.changed
+		return contents{}, c.changed
 	}
 	b := Batch{Era: c.position.Era, Revision: c.position.Revision}
 	b.Snapshot = position.Era < b.Era || position.Revision < c.compactedRevision
@@ -231,17 +254,18 @@
 			b.Changes = append(b.Changes, o.Change)
 		}
 	}
-	return b, c.confirmed, c.changed
+	return contents{b, c.confirmed, c.complete}, c.changed
 }
 
-// waitForChange blocks until there are changes after a position or ctx ends. It returns
-// at once if the position is newer than the cache. A confirmation without changes doesn't
-// end the wait.
-func (c *Cache) waitForChange(ctx context.Context, position Position) {
+// waitForChange blocks until there are changes after a position, until the contents are
+// confirmed anew after complete, or until ctx ends. If complete is zero, no confirmation ends
+// the wait. It returns at once if the position is newer than the cache.
+func (c *Cache) waitForChange(ctx context.Context, position Position, complete rwtime.BootTime) {
 	for {
-		b, confirmed, changed := c.changesSince(position)
-		followerAhead := confirmed == 0 && position != Position{} // its position is newer than this cache
-		if len(b.Changes) > 0 || b.Snapshot || followerAhead {
+		now, changed := c.changesSince(position)
+		confirmed := complete > 0 && now.complete >= complete+rwtime.BootTime(minConfirmation)
+		followerAhead := now.confirmed == 0 && position != Position{} // its position is newer than this cache
+		if len(now.Changes) > 0 || now.Snapshot || confirmed || followerAhead {
 			return
 		}
 		select {
--- a/internal/rwfeed/nowait_test.go
+++ b/internal/rwfeed/nowait_test.go
@@ -34,8 +34,8 @@
 		want   int64
 	}{
 		"store unreachable": {func() bool { return true }, 0},
-		"store reachable":   {func() bool { return false }, followWait.Milliseconds()},
-		"not a watcher":     {nil, followWait.Milliseconds()},
+		"store reachable":   {func() bool { return false }, Recency{}.PollWait().Milliseconds()},
+		"not a watcher":     {nil, Recency{}.PollWait().Milliseconds()},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -29,6 +29,7 @@
 type FollowRequest struct {
 	Revisions  map[string]int64 `json:"have"`           // revisions of the follower's caches, by kind
 	Eras       map[string]int64 `json:"eras,omitempty"` // their eras, without those that are zero
+	LagMillis  map[string]int64 `json:"lags,omitempty"` // their lags in milliseconds: a newer confirmation ends the wait; none without a kind's entry
 	WaitMillis int64            `json:"wait"`           // how long the peer waits for a change, in milliseconds
 	Current    bool             `json:"current"`        // the peer must not wait if the store doesn't answer it
 }
@@ -37,6 +38,16 @@
 	return Position{Era: r.Eras[kind], Revision: r.Revisions[kind]}
 }
 
+// complete returns until when the contents of the follower's cache are complete, for a
+// request that was received at the given time; zero if it doesn't say.
+func (r FollowRequest) complete(kind string, receivedAt rwtime.BootTime) rwtime.BootTime {
+	lag, ok := r.LagMillis[kind]
+	if !ok {
+		return 0
+	}
+	return receivedAt - rwtime.BootTime(time.Duration(lag)*time.Millisecond)
+}
+
 // FollowResponse holds the peer's newer objects, by kind.
 type FollowResponse struct {
 	Kinds map[string]KindUpdate `json:"kinds"`
@@ -49,7 +60,23 @@
 	// ConfirmedOffsetMillis is when the store confirmed the contents, in milliseconds
 	// relative to when the peer received the request; mostly negative.
 	ConfirmedOffsetMillis int64 `json:"fresh"`
-	Known                 bool  `json:"known"` // the peer has received this kind
+	// CompleteOffsetMillis is until when the contents are complete, in the same way; nil from a
+	// former build, whose contents are so until they were confirmed.
+	CompleteOffsetMillis *int64 `json:"complete,omitempty"`
+	Known                bool   `json:"known"` // the peer has received this kind
+}
+
+// times returns when the store confirmed the contents of a response, and until when they are
+// complete, on the clock of the follower that sent the request at the given time.
+func (u KindUpdate) times(sentAt rwtime.BootTime) (confirmed, complete rwtime.BootTime) {
+	at := func(offsetMillis int64) rwtime.BootTime {
+		return sentAt + rwtime.BootTime(time.Duration(offsetMillis)*time.Millisecond)
+	}
+	confirmed = at(u.ConfirmedOffsetMillis)
+	if u.CompleteOffsetMillis == nil {
+		return confirmed, confirmed
+	}
+	return confirmed, max(confirmed, at(*u.CompleteOffsetMillis))
 }
 
 // PeerServer answers instances that follow this one. Set the exported fields before Run.
@@ -101,7 +128,7 @@
 		return errors.Trace(err)
 	}
 	receivedAt := rwtime.Now()
-	s.waitForChange(stream.Context(), request)
+	s.waitForChange(stream.Context(), request, receivedAt)
 	response := FollowResponse{Kinds: map[string]KindUpdate{}, Away: !s.current()}
 	if s.needsAllObjects(request) {
 		defer s.fullResponses.Add(-1)
@@ -110,12 +137,18 @@
 		}
 	}
 	for _, cache := range s.Caches {
-		batch, confirmed, _ := cache.changesSince(request.position(cache.Kind))
-		response.Kinds[cache.Kind] = KindUpdate{Batch: batch, Known: confirmed > 0, ConfirmedOffsetMillis: time.Duration(confirmed - receivedAt).Milliseconds()}
+		now, _ := cache.changesSince(request.position(cache.Kind))
+		complete := offsetMillis(now.complete, receivedAt)
+		response.Kinds[cache.Kind] = KindUpdate{Batch: now.Batch, Known: now.confirmed > 0, ConfirmedOffsetMillis: offsetMillis(now.confirmed, receivedAt), CompleteOffsetMillis: &complete}
 	}
 	return send(stream, &response)
 }
 
+// offsetMillis returns a time relative to another one, in milliseconds.
+func offsetMillis(at, from rwtime.BootTime) int64 {
+	return time.Duration(at - from).Milliseconds()
+}
+
 // needsAllObjects reports whether a follower has no objects yet of some kind, or those
 // of an older era, so that the response holds all of them.
 func (s *PeerServer) needsAllObjects(request FollowRequest) bool {
@@ -137,9 +170,10 @@
 
 func (s *PeerServer) current() bool { return s.Current == nil || s.Current() }
 
-// waitForChange blocks until one of the kinds has changed or the requested wait is over.
-// A follower that reads only from current peers doesn't wait for one that is not.
-func (s *PeerServer) waitForChange(ctx context.Context, request FollowRequest) {
+// waitForChange blocks until one of the kinds has changed or was confirmed anew, or the
+// requested wait is over. A follower that reads only from current peers doesn't wait for one
+// that is not.
+func (s *PeerServer) waitForChange(ctx context.Context, request FollowRequest, receivedAt rwtime.BootTime) {
 	ctx, cancel := context.WithTimeout(ctx, min(maxFollowWait, time.Duration(request.WaitMillis)*time.Millisecond))
 	defer cancel()
 	var wg sync.WaitGroup
@@ -160,7 +194,7 @@
 	}
 	for _, cache := range s.Caches {
 		wg.Go(func() {
-			cache.waitForChange(ctx, request.position(cache.Kind))
+			cache.waitForChange(ctx, request.position(cache.Kind), request.complete(cache.Kind, receivedAt))
 			cancel()
 		})
 	}
@@ -174,24 +208,25 @@
 	Era    *Era            // records the eras that peers have seen
 	Peers  func() []string // addresses to try, the best first; empty if no peer is needed
 	NoWait func() bool     // reports whether peers must answer without waiting for a change; nil for never
-	Lost   func()          // called when this instance has no current peer to follow any more; may be nil
 	Wake   *Signal         // ends the pauses between rounds over the peers; may be nil
 	Log    logr.Logger
 
+	Recency   Recency // of the settings: for how long peers wait, and how old their contents may be
+	Confirmed func()  // called when a peer has confirmed the contents anew; may be nil
+
 	mu           sync.Mutex
-	following    bool      // the connected peer is current and responds in time
-	searching    bool      // it was, and no other one has been found since
-	next         int       // index of the first peer of the next round, while searching
-	lastResponse time.Time // of the last response, useful or not
-	address      string    // of the peer that conn leads to; empty if there is none
+	following    bool            // the connected peer is current and responds in time
+	searching    bool            // it was, and no other one has been found since
+	next         int             // index of the first peer of the next round, while searching
+	complete     rwtime.BootTime // until when peers have confirmed all contents with a bound on their age; zero if none has
+	lastResponse time.Time       // of the last response, useful or not
+	address      string          // of the peer that conn leads to; empty if there is none
 	conn         *drpcconn.Conn
 }
 
 // Timing of calls to peers.
 const (
-	// followWait is how long a peer waits for a change before it responds.
-	followWait = time.Second
-	// bootstrapFollowWait replaces followWait while a kind needed to serve callers is
+	// bootstrapFollowWait replaces Recency.PollWait while a kind needed to serve callers is
 	// missing, as after a start: the peer may lack it too.
 	bootstrapFollowWait = 100 * time.Millisecond
 	// minFollowBackoff is the pause after the first round over all peers without a
@@ -202,16 +237,10 @@
 	maxSearchBackoff = time.Second
 	// maxSearchPeers limits the peers of one round of a search.
 	maxSearchPeers = 6
-	// followTimeoutMargin is added to followWait, for the response.
+	// followTimeoutMargin is added to the wait, for the response.
 	followTimeoutMargin = 700 * time.Millisecond
 	// peerDialTimeout limits connecting to a peer.
 	peerDialTimeout = 300 * time.Millisecond
-	// maxPeerStaleness is the age above which a peer's contents are not useful: two
-	// confirmation intervals of a watcher that reaches the store.
-	maxPeerStaleness = 2800 * time.Millisecond
-	// maxPeerStalenessNoWait replaces maxPeerStaleness for a watcher that can't reach
-	// the store: the peer's contents must be newer than its own.
-	maxPeerStalenessNoWait = 1700 * time.Millisecond
 	// followBatchDelay is the pause after a response with changes, so that changes come
 	// in batches, as for a watcher.
 	followBatchDelay = 100 * time.Millisecond
@@ -240,8 +269,25 @@
 		return
 	}
 	f.Log.V(rwlog.Routine).Info("no longer following", "address", address, "cause", cause)
-	if f.Lost != nil {
-		f.Lost()
+}
+
+// Lag returns the time since which the contents may lack changes that the store has
+// acknowledged, as far as peers have told, and whether one ever did. What this instance read
+// from the store itself has no part in it.
+func (f *Follower) Lag() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rwtime.Since(f.complete), f.complete > 0
+}
+
+// confirm records until when a peer has confirmed the contents.
+func (f *Follower) confirm(complete rwtime.BootTime) {
+	f.mu.Lock()
+	confirmed := complete > f.complete
+	f.complete = max(f.complete, complete)
+	f.mu.Unlock()
+	if confirmed && f.Confirmed != nil {
+		f.Confirmed()
 	}
 }
 
@@ -250,7 +296,7 @@
 func (f *Follower) PeerResponded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.lastResponse) < 2*(followWait+followTimeoutMargin)
+	return time.Since(f.lastResponse) < 2*(f.Recency.PollWait()+followTimeoutMargin)
 }
 
 // Address returns the address of the connected peer, or an empty string.
@@ -312,29 +358,30 @@
 	return peers, f.searching
 }
 
-// poll asks one peer for changes once and reports whether the response was useful: each
-// cache without IgnoreAge got contents that were confirmed recently, and no kind needed
-// to serve callers is missing.
+// poll asks one peer for changes once and reports whether the response was useful: the store
+// answers the peer, each cache without IgnoreAge got contents whose next confirmation isn't
+// overdue, and no kind needed to serve callers is missing.
 func (f *Follower) poll(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeoutMargin)
+	wait := f.Recency.PollWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+followTimeoutMargin)
 	defer cancel()
-	request := FollowRequest{Revisions: map[string]int64{}, Eras: map[string]int64{}, WaitMillis: followWait.Milliseconds(), Current: true}
+	request := FollowRequest{Revisions: map[string]int64{}, Eras: map[string]int64{}, LagMillis: map[string]int64{}, WaitMillis: wait.Milliseconds(), Current: true}
 	for _, cache := range f.Caches {
 		position := cache.Position()
 		request.Revisions[cache.Kind] = position.Revision
 		if position.Era > 0 {
 			request.Eras[cache.Kind] = position.Era
 		}
+		if lag, known := cache.Lag(); known && !cache.IgnoreAge {
+			request.LagMillis[cache.Kind] = lag.Milliseconds()
+		}
 		if cache.missingRequired() {
 			request.WaitMillis, request.Current = bootstrapFollowWait.Milliseconds(), false
 		}
 	}
-	maxStaleness := maxPeerStaleness
-	if f.NoWait != nil && f.NoWait() {
+	if f.isSearching() || f.NoWait != nil && f.NoWait() {
 		// The peer may have lost the store too. Without waiting, all peers are asked
 		// until one is found that has newer contents.
-		request.WaitMillis, maxStaleness = 0, maxPeerStalenessNoWait
-	} else if f.isSearching() {
 		request.WaitMillis = 0
 	}
 	overdue := time.AfterFunc(time.Duration(request.WaitMillis)*time.Millisecond+OverdueMargin, func() { f.setFollowing(false, "response overdue") })
@@ -352,14 +399,25 @@
 	f.lastResponse = time.Now()
 	f.mu.Unlock()
 	useful, missing, changed := !response.Away, false, false
+	confirmed := rwtime.Now() // until when all contents with a bound on their age are complete
 	for _, cache := range f.Caches {
 		update := response.Kinds[cache.Kind]
 		f.Era.Observe(update.Era)
-		confirmedAt := sentAt + rwtime.BootTime(update.ConfirmedOffsetMillis*int64(time.Millisecond))
-		accepted := update.Known && cache.Update(update.Batch, confirmedAt)
+		confirmedAt, complete := update.times(sentAt)
+		accepted := update.Known && cache.UpdateComplete(update.Batch, confirmedAt, complete)
 		missing = missing || cache.missingRequired()
-		useful = useful && (cache.IgnoreAge || accepted && rwtime.Since(confirmedAt) <= maxStaleness)
 		changed = changed || accepted && len(update.Changes) > 0
+		if cache.IgnoreAge {
+			continue
+		}
+		if !accepted {
+			complete = 0
+		}
+		confirmed = min(confirmed, complete)
+		useful = useful && rwtime.Since(complete) <= f.Recency.Overdue()
+	}
+	if !response.Away {
+		f.confirm(confirmed) // a peer that doesn't watch the store may have the contents from this instance
 	}
 	if useful {
 		f.setFollowing(true, "")
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ragwortwall/internal/rwerror"
@@ -11,6 +12,7 @@
 	"ragwortwall/internal/rwtime"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 )
 
 // Source reads one kind of object from the store. List returns all objects; Watch
@@ -49,7 +51,7 @@
 	Source      Source
 	Era         *Era                 // a higher one than the cache's ends a call, and the objects are listed
 	ShouldWatch func() bool          // reports whether this instance must watch the store
-	WatchWait   time.Duration        // how long a watch call waits for a change; the store confirms the cache this often
+	WatchWait   time.Duration        // how long a watch call waits for a change at most; the store confirms the cache this often
 	BatchDelay  time.Duration        // pause after a watch call that returned changes, so that changes come in batches
 	Backoff     func() time.Duration // pause after a failed call, used if longer than maxBackoff; may be nil
 	Changed     *Signal              // notified when Current changes; ends the pauses between calls; may be nil
@@ -77,14 +79,13 @@
 			continue
 		}
 		sentAt := rwtime.Now()
-		batch, raised, err := w.call(ctx)
+		batch, waited, err := w.call(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return // a call that ctx ended is no failure
-		case err != nil && raised:
-			// The answer would have been of an older era.
+		case errors.Is(err, errCallAgain):
 		case err == nil:
-			w.update(batch, sentAt)
+			w.update(batch, sentAt, waited)
 			backoff = minBackoff
 			if len(batch.Changes) > 0 && !batch.Snapshot {
 				rwtime.Sleep(ctx, w.BatchDelay)
@@ -134,29 +135,28 @@
 	return min(watchTimeoutMargin, max(OverdueMargin, 2*w.overrun))
 }
 
+// errCallAgain is the error of a call that was given up, as the next one shows more.
+const errCallAgain = errors.ConstError("call given up for another one")
+
 // call lists the objects if that is necessary, and otherwise watches for changes after
-// the cached revision. raised reports that a higher era was seen meanwhile, which ends
-// the call.
-func (w *Watcher) call(ctx context.Context) (batch Batch, raised bool, err error) {
+// the cached revision. It returns how long the store has waited in vain for a change. A call
+// that is overdue, or would have an answer of an older era, fails with errCallAgain.
+func (w *Watcher) call(ctx context.Context) (batch Batch, waited time.Duration, err error) {
 	era, ctx, cancel := w.Era.Until(ctx)
 	defer cancel()
 	position := w.Cache.Position()
-	wait := w.WatchWait
-	if !w.Current() {
-		wait = 0 // an immediate response confirms the contents, and that the store answers
-	}
 	list := w.needsList || position.Revision == 0 || position.Era < era
-	if list {
-		wait = 0
-	}
-	overdue := time.AfterFunc(wait+w.overdueMargin(), func() { w.setCurrent(false, "no response") })
+	wait := w.wait(list)
+	var givenUp atomic.Bool
+	overdue := time.AfterFunc(wait+w.overdueMargin(), func() {
+		w.setCurrent(false, "no response")
+		if wait > 0 {
+			givenUp.Store(true) // the path may be silent for good: a call without a wait tells
+			cancel()
+		}
+	})
 	defer overdue.Stop()
-	sentAt := time.Now()
-	defer func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.overrun = max(0, time.Since(sentAt)-wait)
-	}()
+	sentAt := rwtime.Now()
 	if list {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -168,10 +168,37 @@
 		w.count("watch")
 		batch, err = w.Source.Watch(ctx, position.Revision, wait)
 	}
+	took := rwtime.Since(sentAt)
 	if err == nil && !w.Era.Observe(batch.Era) {
 		err = rwerror.New(rwerror.KindUnavailable, "try again", "the answer is of the older era %d", batch.Era)
 	}
-	return batch, w.Era.Current() > era, err
+	if err != nil && (w.Era.Current() > era || givenUp.Load()) {
+		return batch, 0, errCallAgain
+	}
+	if err == nil {
+		w.mu.Lock()
+		w.overrun = max(0, took-wait)
+		w.mu.Unlock()
+	}
+	if err == nil && !list && len(batch.Changes) == 0 && took >= wait {
+		waited = wait
+	}
+	return batch, waited, err
+}
+
+// wait returns how long the next call waits for a change. Contents with a bound on their age
+// are confirmed WatchWait after the last confirmation, also if a change ended the last watch.
+func (w *Watcher) wait(list bool) time.Duration {
+	switch {
+	case list:
+		return 0
+	case !w.Current():
+		return 0 // an immediate response confirms the contents, and that the store answers
+	case w.Cache.IgnoreAge:
+		return w.WatchWait
+	}
+	lag, _ := w.Cache.Lag()
+	return min(w.WatchWait, max(0, w.WatchWait-lag))
 }
 
 // count counts a call to the store, or its failure.
@@ -182,10 +209,11 @@
 }
 
 // update applies a response to the cache. The contents count as confirmed only at
-// sentAt, when the request was sent: the store may have read them right after that.
-func (w *Watcher) update(batch Batch, sentAt rwtime.BootTime) {
+// sentAt, when the request was sent: the store may have read them right after that. They are
+// complete until the store had waited for a change in vain.
+func (w *Watcher) update(batch Batch, sentAt rwtime.BootTime, waited time.Duration) {
 	w.recordSuccess(batch.Revision)
-	if w.Cache.Update(batch, sentAt) {
+	if w.Cache.UpdateComplete(batch, sentAt, sentAt+rwtime.BootTime(waited)) {
 		w.needsList = false
 		w.setCurrent(true, "response")
 		return
--- a/internal/rwloopback/address_test.go
+++ b/internal/rwloopback/address_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -30,3 +31,16 @@
 		seen[h] = true
 	}
 }
+
+func TestUnanswered(t *testing.T) {
+	address, release, err := Unanswered()
+	require.NoError(t, err)
+	_, err = net.DialTimeout("tcp", address, 300*time.Millisecond)
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout(), err)
+	release()
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+}
