The time of a confirmation is rounded down on its way between instances

Callers could see: keys and settings in force for longer than their bound, at instances that follow each other without the store; no play is known in which a rule broke.

Cause: the offset of the confirmation, a negative number of milliseconds, was cut towards zero, so that contents got up to a millisecond younger with each hop.

TestFollowersOfEachOther failed before the fix (aged by 3.997 s in 4.001 s); it passes since.

--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -144,9 +145,10 @@
 	return send(stream, &response)
 }
 
-// offsetMillis returns a time relative to another one, in milliseconds.
+// offsetMillis returns a time relative to another one, in milliseconds. It is rounded down:
+// contents must not get younger on their way from instance to instance.
 func offsetMillis(at, from rwtime.BootTime) int64 {
-	return time.Duration(at - from).Milliseconds()
+	return int64(math.Floor(float64(at-from) / float64(time.Millisecond)))
 }
 
 // needsAllObjects reports whether a follower has no objects yet of some kind, or those
--- a/internal/rwfeed/recency_test.go
+++ b/internal/rwfeed/recency_test.go
@@ -219,6 +219,36 @@
 	require.False(t, confirmed)
 }
 
+// TestFollowersOfEachOther guards against instances that take each other's contents for
+// current, as none of them reads the store any more: a confirmation only ages.
+func TestFollowersOfEachOther(t *testing.T) {
+	t.Parallel()
+	caches := []*rwfeed.Cache{newCache(&recorder{}), newCache(&recorder{})}
+	addresses := []string{rwloopback.Address(), rwloopback.Address()}
+	followers := make([]*rwfeed.Follower, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	for n, cache := range caches {
+		cache.Update(rwfeed.Batch{Revision: 3, Snapshot: true, Changes: []rwfeed.Change{change("a", 3)}}, rwtime.Now())
+		server := &rwfeed.PeerServer{Address: addresses[n], Caches: []*rwfeed.Cache{cache}, Log: logr.Discard()}
+		followers[n] = &rwfeed.Follower{Caches: []*rwfeed.Cache{cache}, Peers: func() []string { return []string{addresses[1-n]} }, Log: logr.Discard()}
+		work.Go(func() { server.Run(ctx) })
+		work.Go(func() { followers[n].Run(ctx) })
+	}
+	defer work.Wait()
+	defer cancel()
+	start := time.Now()
+	time.Sleep(4 * time.Second)
+	for n := range caches {
+		lag, known := followers[n].Lag()
+		require.True(t, known)
+		require.Greater(t, lag, time.Since(start), "a confirmation became younger")
+		age, _ := caches[n].Age()
+		require.Greater(t, age, time.Since(start))
+		require.False(t, followers[n].Following())
+	}
+}
+
 // TestFollowerAheadWaits guards against a follower that has read one kind from the store itself
 // and asks a peer, which has nothing newer of it yet, again and again without a pause.
 func TestFollowerAheadWaits(t *testing.T) {
