An instance that the store turned away asks it again within the settings' bound

Callers saw: an instance of a large fleet refused valid keys and missed changes for up to 10 s after the store had turned it away once, although the store answered it again, when the peer that it reached had no way to the store.

Cause: the pause after the first failed call grew with the number of listed instances, to 10 s.

Change: Settings.SettingsBound limits the pause, and the first failure in a row is followed by a short one.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -1,6 +1,7 @@
 package rwentry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -45,7 +46,8 @@
 	// fleetCallInterval times the number of instances is the maximum backoff of an
 	// instance that is not a watcher. While a store does not answer, the total rate of
 	// calls to it thus does not grow with the number of instances, until the backoff
-	// reaches maxFallbackBackoff.
+	// reaches Settings.SettingsBound, or maxFallbackBackoff if there is none: an instance that
+	// the store answers again must know that before it counts as one that has been in touch.
 	fleetCallInterval  = 150 * time.Millisecond
 	maxFallbackBackoff = 10 * time.Second
 	// lostTTL is how long an object that the store lost is kept until its writer has
@@ -231,7 +233,8 @@
 	if members.IsWatcher() || !f.follower.PeerResponded() {
 		return maxWatcherBackoff
 	}
-	return min(maxFallbackBackoff, max(maxWatcherBackoff, time.Duration(members.Count())*fleetCallInterval))
+	longest := cmp.Or(f.instance.Settings.SettingsBound, maxFallbackBackoff)
+	return min(longest, max(maxWatcherBackoff, time.Duration(members.Count())*fleetCallInterval))
 }
 
 // maxWatcherBackoff is the longest pause of a watcher after failed calls. It is short
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -95,8 +95,8 @@
 			w.needsList = true
 		default:
 			w.recordFailure(err)
-			if w.Backoff != nil && w.Backoff() > maxBackoff {
-				backoff = w.Backoff()
+			if w.Backoff != nil && w.Backoff() > maxBackoff && backoff > minBackoff {
+				backoff = w.Backoff() // the second failure in a row is no accident
 			}
 			if sleepUntil(ctx, backoff/2+rand.N(backoff/2), w.Changed.Wait()) {
 				backoff = min(2*backoff, maxBackoff)
