Instances that can't be reached are passed over when watchers are chosen

Cause: the watchers are chosen from all that are listed, and nothing takes an entry out.

Change: an instance passes over those that it couldn't reach, until it hears from them, reaches them, sees their entry written again, or 10 minutes have passed. The choice is kept until one of these changes, as it sorts thousands of entries.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -126,7 +126,7 @@
 	watch(&f.quarantines, i.Stores.Quarantines, quarantinesWatchTimeout, 0)
 	f.serverList.StoreRecoveredAt, f.serverList.Age = servers.RecoveredAt, f.servers.Age
 	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves, &f.quarantines}
-	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Wake: &f.sourceChanged, Recency: f.recency, Confirmed: f.putOffFallback, Log: i.Log}
+	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Wake: &f.sourceChanged, Recency: f.recency, Confirmed: f.putOffFallback, Reached: i.members.RecordReach, Log: i.Log}
 	f.peerServer = rwfeed.PeerServer{
 		Address: i.Settings.PeerAddress, Caches: caches, Current: func() bool { return f.stateWatcher.Current() && servers.Current() }, Changed: &f.sourceChanged, Log: i.Log,
 		MaxConns: i.shares.Peers, CountClosed: func() { i.countCrowd("peers_closed") },
@@ -249,22 +249,32 @@
 }
 
 // peersToFollow returns the addresses of the peers to follow now; none for a watcher
-// whose state is recent. The watchers come first, then a few of the other instances.
+// whose state is recent. The watchers come first, then a few of the other instances, of those
+// that aren't passed over as unreachable if there are any.
 func (f *feeds) peersToFollow() []string {
-	if _, known := f.states.Age(); known && f.instance.members.IsWatcher() && !f.stale() {
+	members := &f.instance.members
+	if _, known := f.states.Age(); known && members.IsWatcher() && !f.stale() {
 		return nil
 	}
-	if watchers := f.instance.members.WatcherAddresses(); len(watchers) > 0 {
-		others := f.instance.members.Others()
-		rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
-		peers := watchers
-		for _, m := range others {
-			if len(peers) < len(watchers)+maxOtherPeers && m.PeerAddress != "" && !slices.Contains(watchers, m.PeerAddress) {
-				peers = append(peers, m.PeerAddress)
-			}
+	watchers := members.WatcherAddresses()
+	if len(watchers) == 0 && members.SeedsWatch() {
+		return f.otherSeeds()
+	}
+	others := members.Reachable()
+	if len(others) == 0 {
+		others = members.Others()
+	}
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	peers := watchers
+	for _, m := range others {
+		if len(peers) < len(watchers)+maxOtherPeers && m.PeerAddress != "" && !slices.Contains(watchers, m.PeerAddress) {
+			peers = append(peers, m.PeerAddress)
 		}
-		return peers
 	}
+	return peers
+}
+
+func (f *feeds) otherSeeds() []string {
 	var seeds []string
 	for _, address := range f.instance.Settings.Seeds {
 		if address != f.instance.Settings.PeerAddress {
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -216,6 +216,8 @@
 	Recency   Recency // of the settings: for how long peers wait, and how old their contents may be
 	Confirmed func()  // called when a peer has confirmed the contents anew; may be nil
 
+	Reached func(address string, reached bool) // called when a peer has responded, and when it couldn't be connected to or was silent; may be nil
+
 	mu           sync.Mutex
 	following    bool            // the connected peer is current and responds in time
 	searching    bool            // it was, and no other one has been found since
@@ -393,10 +395,12 @@
 	if err := f.call(ctx, address, &request, &response); err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			f.Log.Info("poll of peer failed", "address", address, "cause", err.Error())
+			f.recordReach(address, false)
 		}
 		f.closeConn()
 		return false
 	}
+	f.recordReach(address, true)
 	f.mu.Lock()
 	f.lastResponse = time.Now()
 	f.mu.Unlock()
@@ -433,6 +437,12 @@
 	return useful
 }
 
+func (f *Follower) recordReach(address string, reached bool) {
+	if f.Reached != nil {
+		f.Reached(address, reached)
+	}
+}
+
 func (f *Follower) isSearching() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -34,11 +34,19 @@
 	Bootstrap bool
 	Log       logr.Logger
 
-	mu         sync.Mutex
-	known      map[string]Member
-	grownAt    time.Time           // when the list last got another instance
-	selfListed Member              // entry of this instance in the store
-	byZone     map[string][]Member // known members, the largest first; built on demand, never modified, nil when out of date
+	mu          sync.Mutex
+	known       map[string]Member
+	unreachable map[string]time.Time // when each of them last couldn't be reached, and hasn't been heard from since
+	grownAt     time.Time            // when the list last got another instance
+	selfListed  Member               // entry of this instance in the store
+	byZone      map[string][]Member  // known members, the largest first; built on demand, never modified, nil when out of date
+	watchers    watcherCache
+}
+
+// watcherCache holds the watchers of the zones that were asked for.
+type watcherCache struct {
+	byZone map[string][]watcher // never modified; nil when out of date
+	until  time.Time            // when the next unreachable instance is tried again; zero if there is none
 }
 
 // Apply applies changes of the store's list of instances.
@@ -62,9 +70,10 @@
 				m.grownAt = time.Now()
 			}
 			m.known[c.Name] = member
+			delete(m.unreachable, c.Name)
 		}
 	}
-	m.byZone = nil
+	m.byZone, m.watchers = nil, watcherCache{}
 	m.Log.Info("list of instances updated", "count", len(m.known), "revision", b.Revision)
 }
 
@@ -109,6 +118,60 @@
 	return !m.Bootstrap || len(m.known) > 0 && time.Since(m.grownAt) >= quiet
 }
 
+// unreachableTime is how long an instance that couldn't be reached is passed over, unless it is
+// heard from. It is tried again after that: silence doesn't tell a lost path from an instance
+// that left. It is long enough to find a few live ones among thousands that left.
+const unreachableTime = 10 * time.Minute
+
+// RecordReach records whether the instance at an address on which peers follow could be
+// reached. The list says who may be there: the watchers are chosen from those that can be
+// reached, as the largest listed ones may have left.
+func (m *Members) RecordReach(peerAddress string, reached bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, member := range m.known {
+		if member.PeerAddress != peerAddress {
+			continue
+		}
+		if reached {
+			m.clearUnreachableLocked(name)
+			continue
+		}
+		if m.unreachable == nil {
+			m.unreachable = map[string]time.Time{}
+		}
+		if m.reachableLocked(name) {
+			m.Log.Info("instance passed over, as it cannot be reached", "instance", name, "zone", member.Zone, "address", peerAddress)
+		}
+		m.unreachable[name] = time.Now()
+		m.watchers = watcherCache{}
+	}
+}
+
+// RecordHeard records that an instance was heard from.
+func (m *Members) RecordHeard(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.clearUnreachableLocked(name)
+}
+
+func (m *Members) clearUnreachableLocked(name string) {
+	if _, ok := m.unreachable[name]; ok {
+		delete(m.unreachable, name)
+		m.watchers = watcherCache{}
+	}
+}
+
+func (m *Members) reachableLocked(name string) bool {
+	at, ok := m.unreachable[name]
+	return !ok || time.Since(at) >= unreachableTime
+}
+
+// reachableOf returns the members that aren't passed over, in the same order.
+func (m *Members) reachableOf(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return !m.reachableLocked(member.Name) })
+}
+
 // watcher is an instance that watches the store for its availability zone.
 type watcher struct {
 	name     string
@@ -116,9 +179,31 @@
 }
 
 // watchersLocked returns a zone's watchers: its largest instances, as many as can serve the
-// zone. All instances that know the same list get the same result.
+// zone. All instances that know the same list, and reach the same of it, get the same result;
+// a follower asks whom it takes for a watcher.
 func (m *Members) watchersLocked(zone string) []watcher {
-	all := slices.Clone(m.byZoneLocked()[zone])
+	now := time.Now()
+	if !m.watchers.until.IsZero() && !now.Before(m.watchers.until) {
+		m.watchers = watcherCache{}
+	}
+	if m.watchers.byZone == nil {
+		m.watchers.byZone = map[string][]watcher{}
+		for _, at := range m.unreachable {
+			if again := at.Add(unreachableTime); again.After(now) && (m.watchers.until.IsZero() || again.Before(m.watchers.until)) {
+				m.watchers.until = again
+			}
+		}
+	}
+	watchers, ok := m.watchers.byZone[zone]
+	if !ok {
+		watchers = m.chooseWatchersLocked(zone)
+		m.watchers.byZone[zone] = watchers
+	}
+	return watchers
+}
+
+func (m *Members) chooseWatchersLocked(zone string) []watcher {
+	all := m.reachableOf(m.byZoneLocked()[zone])
 	if zone == m.Zone {
 		all = append(all, Member{Name: m.Self, MemoryBytes: m.Memory})
 		slices.SortFunc(all, compareBySize)
@@ -202,6 +287,15 @@
 	return addresses
 }
 
+// Reachable returns the other instances that aren't passed over as unreachable, in no
+// particular order.
+func (m *Members) Reachable() []Member {
+	others := m.Others()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reachableOf(others)
+}
+
 // Others returns the other instances in no particular order.
 func (m *Members) Others() []Member {
 	m.mu.Lock()
--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -194,6 +194,7 @@
 	x.incarnations[n.From] = n.Incarnation
 	x.heardAt[n.From] = time.Now()
 	x.mu.Unlock()
+	x.Members.RecordHeard(n.From)
 	if earlier != 0 && n.Incarnation != earlier {
 		x.Directory.EndRunsOf(n.From)
 	}
