Entries of instances that left are removed, and a missing own entry is written again

An instance whose entry were removed would be unknown until its restart.

Cause: an instance registers once, and nothing takes an entry out.

Change: instances that watch the store remove the entries of those that were silent for a minute and miss three probes, which ask who is at the address (rwpeer.Absence, conditional on the entry's revision). Each instance writes its own entry again when it is missing.

TestEntriesOfLeftRemoved and TestEntryWrittenAgain fail without the removal, and without the second registration (34 s and 20 s, "Condition never satisfied"); TestAbsence plays the decision by a given time.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -128,7 +128,7 @@
 	caches := []*rwfeed.Cache{&f.states, &f.servers, &f.members, &f.moves, &f.quarantines}
 	f.follower = rwfeed.Follower{Caches: caches, Era: i.Stores.Era, Peers: f.peersToFollow, NoWait: func() bool { return f.stale() && !f.follower.Following() }, Wake: &f.sourceChanged, Recency: f.recency, Confirmed: f.putOffFallback, Reached: i.members.RecordReach, Log: i.Log}
 	f.peerServer = rwfeed.PeerServer{
-		Address: i.Settings.PeerAddress, Caches: caches, Current: func() bool { return f.stateWatcher.Current() && servers.Current() }, Changed: &f.sourceChanged, Log: i.Log,
+		Name: i.Settings.Name, Address: i.Settings.PeerAddress, Caches: caches, Current: func() bool { return f.stateWatcher.Current() && servers.Current() }, Changed: &f.sourceChanged, Log: i.Log,
 		MaxConns: i.shares.Peers, CountClosed: func() { i.countCrowd("peers_closed") },
 	}
 }
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -64,6 +64,8 @@
 type MemberStore interface {
 	rwfeed.Source
 	Put(ctx context.Context, name string, spec any) error
+	// Remove deletes an entry unless it has changed since the given position.
+	Remove(ctx context.Context, name string, read rwfeed.Position) error
 }
 
 // MoveStore reads the orders of version moves and records their progress.
@@ -84,6 +86,7 @@
 	Engines      rwforward.EngineClient
 	DutyClient   DutyClient     // carries out the duties; nil if this instance has none
 	Dialer       *rwpath.Dialer // connects to the backend servers
+	Absence      rwpeer.Absence // decides which entries of instances are removed
 	Log          logr.Logger
 
 	feeds     feeds
@@ -144,7 +147,7 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer stop()
-	for _, run := range append(append(i.feeds.loops(), i.duties.loops()...), i.expire, i.listenMetrics(), i.moves.run, i.moves.watchCapacity, i.suspects.run, i.register, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
+	for _, run := range append(append(i.feeds.loops(), i.duties.loops()...), i.expire, i.listenMetrics(), i.moves.run, i.moves.watchCapacity, i.suspects.run, i.register, i.removeAbsent, i.exchange.Run, i.exchange.Hello, i.Dialer.Run, i.relay.Run) {
 		loops.Go(func() { run(backgroundCtx) })
 	}
 	return i.serve(ctx, endRequests)
@@ -160,53 +163,6 @@
 	return time.Until(*end), true
 }
 
-// register writes this instance to the list in the store, unless it is there already,
-// and again when the store has lost the entry.
-func (i *Instance) register(ctx context.Context) {
-	member := rwpeer.Member{
-		Name: i.Settings.Name, Zone: i.Settings.Zone, PeerAddress: i.Settings.PeerAddress, NoticeAddress: i.Settings.DatagramAddress, MemoryBytes: i.Settings.MemoryLimit,
-	}
-	for ctx.Err() == nil {
-		era, ctx, cancel := i.Stores.Era.Until(ctx)
-		i.registerIn(ctx, era, member)
-		<-ctx.Done()
-		cancel()
-	}
-}
-
-// registerIn registers this instance in an era of the store. It returns when that is done
-// or ctx ends.
-func (i *Instance) registerIn(ctx context.Context, era int64, member rwpeer.Member) {
-	const retryInterval = time.Second
-	listKnown := func() bool {
-		_, known := i.feeds.members.Age()
-		return known && i.feeds.members.Position().Era >= era
-	}
-	for start := time.Now(); time.Since(start) < registerTimeout; {
-		if listKnown() || !rwtime.Sleep(ctx, registerPollInterval) {
-			break
-		}
-	}
-	for ctx.Err() == nil && (!listKnown() || !i.members.ListedAs(member)) {
-		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		i.counters.Increment("store_write_instances")
-		err := i.Stores.Members.Put(callCtx, member.Name, member)
-		cancel()
-		if err == nil {
-			return
-		}
-		i.Log.Info("cannot register the instance, will retry", "cause", err.Error())
-		rwtime.Sleep(ctx, retryInterval)
-	}
-}
-
-const (
-	// registerTimeout is how long to wait for the list of instances before writing this
-	// one, and the timeout of one write.
-	registerTimeout      = 2 * time.Second
-	registerPollInterval = 100 * time.Millisecond
-)
-
 func (i *Instance) limitMemory() {
 	debug.SetGCPercent(gcPercent)
 	if i.Settings.MemoryLimit > 0 {
--- a/internal/rwentry/paths.go
+++ b/internal/rwentry/paths.go
@@ -55,11 +55,11 @@
 	}
 }
 
-// helpers returns the other instances in random order, those of this zone first. Each relays
-// connections at the address at which it gets notices.
+// helpers returns the other instances that aren't passed over as unreachable, in random order,
+// those of this zone first. Each relays connections at the address at which it gets notices.
 func (i *Instance) helpers() []rwpath.Helper {
 	var helpers []rwpath.Helper
-	for _, m := range i.members.Others() {
+	for _, m := range i.members.Reachable() {
 		helpers = append(helpers, rwpath.Helper{Zone: m.Zone, Address: m.NoticeAddress})
 	}
 	rand.Shuffle(len(helpers), func(a, b int) { helpers[a], helpers[b] = helpers[b], helpers[a] })
--- a/internal/rwfeed/peer.go
+++ b/internal/rwfeed/peer.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,35 @@
 	"storj.io/drpc/drpcwire"
 )
 
-// followMethod is the path of the call that returns changes since given revisions.
-const followMethod = "/feed/follow"
+const (
+	// followMethod is the path of the call that returns changes since given revisions.
+	followMethod = "/feed/follow"
+	// identifyMethod is the path of the call that returns the instance's name. Former builds
+	// answer it with an error that names the method.
+	identifyMethod = "/feed/identify"
+)
+
+// Identity is the response of an instance that is asked who it is.
+type Identity struct {
+	Name string `json:"name"`
+}
+
+// Identify reports whether the instance with a name answers at an address. An instance of a
+// former build counts as any.
+func Identify(ctx context.Context, address, name string) bool {
+	dialer := net.Dialer{KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	var response Identity
+	if err := conn.Invoke(ctx, identifyMethod, encoding{}, &Identity{Name: name}, &response); err != nil {
+		return strings.Contains(err.Error(), identifyMethod)
+	}
+	return response.Name == name
+}
 
 // FollowRequest asks a peer for the changes since the follower's positions.
 type FollowRequest struct {
@@ -82,6 +110,7 @@
 
 // PeerServer answers instances that follow this one. Set the exported fields before Run.
 type PeerServer struct {
+	Name    string // of this instance
 	Address string
 	Caches  []*Cache
 	Current func() bool // reports whether the store answers this instance itself; nil for always
@@ -121,9 +150,16 @@
 
 // HandleRPC serves one call of a follower.
 func (s *PeerServer) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc != followMethod {
-		return errors.NotFoundf("RPC method %s", rpc)
+	switch rpc {
+	case followMethod:
+		return s.serveFollower(stream)
+	case identifyMethod:
+		return send(stream, &Identity{Name: s.Name})
 	}
+	return errors.NotFoundf("RPC method %s", rpc)
+}
+
+func (s *PeerServer) serveFollower(stream drpc.Stream) error {
 	var request FollowRequest
 	if err := stream.MsgRecv(&request, encoding{}); err != nil {
 		return errors.Trace(err)
@@ -163,7 +199,7 @@
 	return false
 }
 
-func send(stream drpc.Stream, response *FollowResponse) error {
+func send(stream drpc.Stream, response any) error {
 	if err := stream.MsgSend(response, encoding{}); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/rwpeer/ask.go
+++ b/internal/rwpeer/ask.go
@@ -62,7 +62,7 @@
 // askForSuspicions asks other instances in turn, in random order, for the suspicions that
 // this one lacks.
 func (x *Exchange) askForSuspicions(ctx context.Context) {
-	others := x.Members.Others()
+	others := x.Members.Reachable()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	complete := 0
 	for _, m := range others[:min(maxInstancesToAsk, len(others))] {
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -21,6 +21,7 @@
 	PeerAddress   string `json:"instances,omitempty"` // address on which peers follow this instance
 	NoticeAddress string `json:"notices"`             // UDP address for notices
 	MemoryBytes   int    `json:"memory,omitempty"`    // memory limit in bytes; larger instances watch the store and relay notices for others
+	Renews        bool   `json:"renews,omitempty"`    // the instance writes the entry again when it is missing
 }
 
 // Members keeps the list of the other instances. Set the exported fields before first
@@ -36,10 +37,12 @@
 
 	mu          sync.Mutex
 	known       map[string]Member
-	unreachable map[string]time.Time // when each of them last couldn't be reached, and hasn't been heard from since
-	grownAt     time.Time            // when the list last got another instance
-	selfListed  Member               // entry of this instance in the store
-	byZone      map[string][]Member  // known members, the largest first; built on demand, never modified, nil when out of date
+	positions   map[string]rwfeed.Position // of their entries
+	unreachable map[string]time.Time       // when each of them last couldn't be reached, and hasn't been heard from since
+	heardAt     map[string]time.Time       // when each of them was last heard from
+	grownAt     time.Time                  // when the list last got another instance
+	selfListed  Member                     // entry of this instance in the store
+	byZone      map[string][]Member        // known members, the largest first; built on demand, never modified, nil when out of date
 	watchers    watcherCache
 }
 
@@ -54,22 +57,25 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.known == nil {
-		m.known = map[string]Member{}
+		m.known, m.positions = map[string]Member{}, map[string]rwfeed.Position{}
 	}
 	for _, c := range b.Changes {
 		var member Member
 		switch {
-		case b.Lost(c) && c.Name == m.Self:
+		case c.Name == m.Self && (c.Deleted || b.Lost(c)):
 			m.selfListed = Member{}
 		case c.Deleted || json.Unmarshal(c.Spec, &member) != nil:
 			delete(m.known, c.Name)
+			delete(m.positions, c.Name)
+			delete(m.unreachable, c.Name)
+			delete(m.heardAt, c.Name)
 		case c.Name == m.Self:
 			m.selfListed = member
 		default:
 			if _, known := m.known[c.Name]; !known {
 				m.grownAt = time.Now()
 			}
-			m.known[c.Name] = member
+			m.known[c.Name], m.positions[c.Name] = member, c.Position()
 			delete(m.unreachable, c.Name)
 		}
 	}
@@ -153,6 +159,25 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.clearUnreachableLocked(name)
+	if m.heardAt == nil {
+		m.heardAt = map[string]time.Time{}
+	}
+	m.heardAt[name] = time.Now()
+}
+
+// HeardAt returns when an instance was last heard from, or the zero time.
+func (m *Members) HeardAt(name string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heardAt[name]
+}
+
+// heardOf returns those of the members that were heard from within relayTime, in the same
+// order.
+func (m *Members) heardOf(members []Member) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return time.Since(m.heardAt[member.Name]) > relayTime })
 }
 
 func (m *Members) clearUnreachableLocked(name string) {
@@ -307,6 +332,17 @@
 	return others
 }
 
+// Listed returns the entries of the other instances in no particular order.
+func (m *Members) Listed() []Listed {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := make([]Listed, 0, len(m.known))
+	for name, member := range m.known {
+		listed = append(listed, Listed{member, m.positions[name]})
+	}
+	return listed
+}
+
 // Get returns another instance by its name.
 func (m *Members) Get(name string) (Member, bool) {
 	m.mu.Lock()
@@ -357,11 +393,15 @@
 	return len(zone) > 0 && m.Memory > zone[len(zone)-1].MemoryBytes
 }
 
+// relayTime is how recently an instance must have been heard from to relay notices, if any
+// of its zone was: what a relay that left gets is lost for its zone.
+const relayTime = 10 * time.Second
+
 // minRelays is 2 so that the loss of one relay doesn't cut its zone off from notices.
 const minRelays = 2
 
 // ListedAs reports whether the store's entry of this instance equals own. It doesn't if
-// the store has lost the entry.
+// the store has lost the entry, or another instance has removed it.
 func (m *Members) ListedAs(own Member) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
