Notices go through a relay that was heard from

Seen: beside ten entries of instances that left for each live one, ten of eleven notices are lost for the zones that get them through a relay.

Cause: a relay is drawn from all that are listed.

TestRelaysThatLeft failed before the fix (101 datagrams of 1,000, more than 750 demanded), and passes since.

--- a/internal/rwpeer/notice.go
+++ b/internal/rwpeer/notice.go
@@ -326,6 +326,9 @@
 			continue
 		}
 		candidates := Relays(members)
+		if heard := x.Members.heardOf(members); len(heard) > 0 {
+			candidates = Relays(heard)
+		}
 		relays = append(relays, candidates[rand.IntN(len(candidates))])
 	}
 	return direct, relays
