Open watches are given up when another one shows that the path is silent

Cause: each kind of object counted as current until its own watch was overdue, up to 25 s, though the watch of the settings had shown the silence after 1.5 s.

Change: when that is no longer current, the open calls for the other kinds are given up, and sent again without a wait.

--- a/internal/rwentry/feeds.go
+++ b/internal/rwentry/feeds.go
@@ -105,6 +105,7 @@
 	watch := func(cache *rwfeed.Cache, source rwfeed.Source, timeout, batchDelay time.Duration) *rwfeed.Watcher {
 		w := &rwfeed.Watcher{Cache: cache, Source: source, Era: i.Stores.Era, ShouldWatch: f.watchesStore, WatchWait: timeout, BatchDelay: batchDelay, Backoff: f.maxBackoff, Changed: &f.sourceChanged, Count: i.counters.Increment, Log: i.Log}
 		if stateWatcher := f.stateWatcher; stateWatcher != nil {
+			w.Path = stateWatcher
 			// While the store does not answer, only the watch on the desired state calls it, and
 			// an instance that falls back to the store waits for the first response to that.
 			// An instance that has just started and falls back to the store gets the version
--- a/internal/rwfeed/recency_test.go
+++ b/internal/rwfeed/recency_test.go
@@ -284,3 +284,29 @@
 	time.Sleep(2 * time.Second)
 	require.LessOrEqual(t, polls.Load()-before, int64(6), "polls in 2 s, with a confirmation each 0.5 s")
 }
+
+// TestPathGivesUp guards against objects that count as current for as long as their own watch
+// waits, up to 25 s, although the path to the store is silent, as another watch shows sooner.
+func TestPathGivesUp(t *testing.T) {
+	t.Parallel()
+	var changed rwfeed.Signal
+	settings, servers := &waitingSource{}, &waitingSource{}
+	path := &rwfeed.Watcher{Cache: newCache(&recorder{}), Source: settings, ShouldWatch: func() bool { return true }, WatchWait: 300 * time.Millisecond, Changed: &changed, Log: logr.Discard()}
+	w := &rwfeed.Watcher{Cache: newCache(&recorder{}), Source: servers, ShouldWatch: path.Current, WatchWait: 20 * time.Second, Changed: &changed, Path: path, Log: logr.Discard()}
+	w.Cache.IgnoreAge = true
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { path.Run(ctx) })
+	work.Go(func() { w.Run(ctx) })
+	defer work.Wait()
+	defer cancel()
+	open := func() bool {
+		calls := servers.calls()
+		return len(calls) > 0 && calls[len(calls)-1] > 0
+	}
+	require.Eventually(t, open, 10*time.Second, time.Millisecond)
+	before := len(servers.calls())
+	settings.silent.Store(true)
+	require.Eventually(t, func() bool { return len(servers.calls()) > before }, path.WatchWait+rwfeed.OverdueMargin+500*time.Millisecond, time.Millisecond)
+	require.Zero(t, servers.calls()[before], "it must be answered at once")
+}
--- a/internal/rwfeed/store.go
+++ b/internal/rwfeed/store.go
@@ -55,10 +55,12 @@
 	BatchDelay  time.Duration        // pause after a watch call that returned changes, so that changes come in batches
 	Backoff     func() time.Duration // pause after a failed call, used if longer than maxBackoff; may be nil
 	Changed     *Signal              // notified when Current changes; ends the pauses between calls; may be nil
+	Path        *Watcher             // of the same path to the store, but shorter waits: when it is no longer current, the open call is given up; may be nil
 	Count       func(name string)    // counts the calls by what they are and their kind; may be nil
 	Log         logr.Logger
 
-	needsList bool // the next call must be a list
+	needsList bool   // the next call must be a list
+	lost      Signal // notified when this watcher is no longer current
 
 	mu           sync.Mutex // held while no function of others is called
 	current      bool
@@ -124,6 +126,9 @@
 	if changed {
 		w.Log.V(rwlog.Routine).Info("watch of the store", "kind", w.Cache.Kind, "current", current, "cause", cause, "revision", w.Cache.Position().Revision)
 		w.Changed.Notify()
+		if !current {
+			w.lost.Notify()
+		}
 	}
 }
 
@@ -156,6 +161,12 @@
 		}
 	})
 	defer overdue.Stop()
+	stopWaiting := w.giveUpWithPath(func() {
+		w.setCurrent(false, "path silent")
+		givenUp.Store(true)
+		cancel()
+	})
+	defer stopWaiting()
 	sentAt := rwtime.Now()
 	if list {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -186,6 +197,28 @@
 	return batch, waited, err
 }
 
+// giveUpWithPath calls giveUp once Path is no longer current, unless it isn't now: connections
+// of one path mostly fall silent together, and this watcher would wait longer to notice. It returns
+// a function that ends that.
+func (w *Watcher) giveUpWithPath(giveUp func()) (stop func()) {
+	if w.Path == nil {
+		return func() {}
+	}
+	lost := w.Path.lost.Wait()
+	if !w.Path.Current() {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-done:
+		case <-lost:
+			giveUp()
+		}
+	}()
+	return func() { close(done) }
+}
+
 // wait returns how long the next call waits for a change. Contents with a bound on their age
 // are confirmed WatchWait after the last confirmation, also if a change ended the last watch.
 func (w *Watcher) wait(list bool) time.Duration {
