--- a/internal/rwentry/listing.go
+++ b/internal/rwentry/listing.go
@@ -34,7 +34,7 @@
 		era, ctx, cancel := i.Stores.Era.Until(ctx)
 		i.registerIn(ctx, era, member)
 		for rwtime.Sleep(ctx, registerRetryPause) {
-			if !i.members.ListedAs(member) && !i.leaving.Load() {
+			if !i.members.IsListed() && !i.leaving.Load() {
 				i.Log.Info("the entry of this instance is missing, writing it again")
 				i.counters.Increment("entry_written_again")
 				i.registerIn(ctx, era, member)
@@ -58,7 +58,7 @@
 		err := i.Stores.Members.Put(callCtx, member.Name, member)
 		cancel()
 		if err == nil {
-			i.waitFor(ctx, listedTimeout, func() bool { return i.members.ListedAs(member) })
+			i.waitFor(ctx, listedTimeout, i.members.IsListed)
 			return
 		}
 		i.Log.Info("cannot register the instance, will retry", "cause", err.Error())
--- a/internal/rwpeer/member.go
+++ b/internal/rwpeer/member.go
@@ -61,10 +61,11 @@
 	}
 	for _, c := range b.Changes {
 		var member Member
+		unreadable := c.Deleted || json.Unmarshal(c.Spec, &member) != nil
 		switch {
-		case c.Name == m.Self && (c.Deleted || b.Lost(c)):
+		case c.Name == m.Self && (unreadable || b.Lost(c)):
 			m.selfListed = Member{}
-		case c.Deleted || json.Unmarshal(c.Spec, &member) != nil:
+		case unreadable:
 			delete(m.known, c.Name)
 			delete(m.positions, c.Name)
 			delete(m.unreachable, c.Name)
@@ -400,8 +401,15 @@
 // minRelays is 2 so that the loss of one relay doesn't cut its zone off from notices.
 const minRelays = 2
 
-// ListedAs reports whether the store's entry of this instance equals own. It doesn't if
-// the store has lost the entry, or another instance has removed it.
+// IsListed reports whether the store has an entry of this instance. It doesn't if the store
+// has lost it, another instance has removed it, or a foreign writer has replaced it.
+func (m *Members) IsListed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.selfListed != Member{}
+}
+
+// ListedAs reports whether the store's entry of this instance equals own.
 func (m *Members) ListedAs(own Member) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/rwsoak/peers.go
+++ b/internal/rwsoak/peers.go
@@ -103,7 +103,7 @@
 	if kind != platform.Instances(nil).Kind || json.Unmarshal(spec, &m) != nil {
 		return spec
 	}
-	for _, i := range s.instances {
+	for _, i := range append(s.visitors.list(), s.instances...) {
 		if i.Name == name {
 			m.PeerAddress, m.NoticeAddress = i.peerProxies.control.Address, i.peerProxies.notices.address
 		}
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,6 +38,7 @@
 	Stops         bool // no faults but stops, reloads and changes of settings, in series that overlap
 	Outside       bool // crowds of clients outside the limits come, and instances have the smallest machine's limits
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
+	Visitors      bool // instances leave for good and new ones come, one after the other, and keys are taken away; PlannedOnly besides
 	Duties        bool // whoever holds the duties is killed, paused, cut off and stopped, one after the other
 
 	ctx            context.Context //nolint:containedctx // of the run
@@ -66,6 +68,26 @@
 	cloud          *standin.Cloud    // nil without Duties
 	cloudServer    *httptest.Server
 	holders        int // of the duties that were disturbed
+	visitors       instanceList
+	visits         atomic.Int64 // visitors that have left
+}
+
+// instanceList is a list of instances that grows.
+type instanceList struct {
+	mu  sync.Mutex
+	all []*instance
+}
+
+func (l *instanceList) add(i *instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, i)
+}
+
+func (l *instanceList) list() []*instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.all)
 }
 
 // Report is the result of a soak run.
@@ -91,6 +113,9 @@
 	DutyCalls    int      `json:"duty_calls"` // accepted reports and orders of servers
 	Logs         string   `json:"logs"`
 
+	Visits    int `json:"visits,omitempty"`     // of instances that left for good
+	KeyChecks int `json:"key_checks,omitempty"` // of keys that were taken away
+
 	Crowds          int `json:"crowds,omitempty"` // of clients outside the limits
 	PeakMemory      int `json:"memory,omitempty"` // of an instance beside them, in MB
 	PeakDescriptors int `json:"descriptors,omitempty"`
@@ -166,9 +191,14 @@
 	if s.Duties {
 		holders.Go(func() { s.disturbHolders(faults) })
 	}
+	if s.Visitors {
+		holders.Go(func() { s.runVisitors(faults) })
+		holders.Go(func() { s.changeKeys(faults) })
+	}
 	s.injectFaults(ctx)
 	endFaults()
 	holders.Wait()
+	s.report.Visits = int(s.visits.Load())
 	s.checkRecovery(ctx)
 	s.checkDuties()
 	stopCallers()
@@ -201,6 +231,9 @@
 	if s.Stops {
 		s.PlannedOnly, s.fleet.EventInterval = true, stopsEventInterval
 	}
+	if s.Visitors {
+		s.PlannedOnly = true
+	}
 	if s.Poison || s.Reads {
 		s.fleet.CrashPath, s.fleet.RestartDelay = []string{poisonPath, poisonDraftPath}[s.Seed%2], poisonDownTime
 	}
@@ -303,7 +336,7 @@
 }
 
 func (s *Soak) stop() {
-	for _, i := range s.instances {
+	for _, i := range append(s.visitors.list(), s.instances...) {
 		i.terminate(syscall.SIGKILL, time.Second)
 		i.storeProxy.Close()
 		i.serverPaths.close()
