--- a/review/standins-3/rollout.go
+++ b/review/standins-3/rollout.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,13 +17,15 @@
 	exposureShare   = 0.1
 	exposureSlack   = 50
 	rolloutDuration = 40 * time.Second
+	badAfter        = 0.4  // of the duration
 	badShare        = 0.15 // of the answers on one route
 	badRoute        = "/recut/"
 )
 
-// playRollout rolls a version out that is bad on one route only: a portion of its answers there
-// are failures.
+// playRollout rolls a version out that turns bad later, on one route only: a portion of its answers
+// there are failures.
 func playRollout(w *world, trouble bool) (broken bool, err error) {
+	var bad atomic.Bool
 	var mu sync.Mutex
 	counts := map[string]int{} // requests that a server began, by version
 	failed, asked := 0, 0      // on the bad route
@@ -38,7 +41,7 @@
 	}
 	old := behaviour{version: "v1", work: 60 * time.Millisecond, backAfter: 3 * time.Second, arrived: arrived("v1")}
 	target := behaviour{version: "v2", work: 60 * time.Millisecond, backAfter: 3 * time.Second, arrived: arrived("v2"), fails: func(path string) bool {
-		return trouble && strings.HasPrefix(path, badRoute) && rand.Float64() < badShare
+		return trouble && bad.Load() && strings.HasPrefix(path, badRoute) && rand.Float64() < badShare
 	}}
 	zones := []string{"amman-a", "amman-b", "amman-c"}
 	var olds, news []*server
@@ -100,6 +103,7 @@
 	orderedAt = time.Now()
 	mu.Unlock()
 	w.log("roll-out of v2 ordered, to be done within %v", rolloutDuration)
+	time.AfterFunc(time.Duration(badAfter*float64(rolloutDuration)), func() { bad.Store(true) })
 	state := ""
 	for time.Since(orderedAt) < rolloutDuration+6*time.Second {
 		time.Sleep(20 * time.Millisecond)
