--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/rvcase3 ] && [ -x target/rwentry ] || { echo "build first: the deploy file, then review/build-3.sh" >&2; exit 2; }
-exec target/review-3/rvcase3 -case drain -record review/12/record.txt
+exec target/review-3/rvcase3 -case poison -record review/12/record.txt
