A loss that nobody can confirm stays open until something tells what became of the server

In doubt about its own path an instance believes only others in two zones; where these are gone, unfit or in one zone, "nobody can tell" became "it was the path", for good. 'server loss not counted as a crash', reason path, for each loss.

Change: such a loss is open (package rwloss) until the server is back as a new process, its entry is removed or outlives a silent one's, or it answers; a request that a server completes drops its losses. Parts of prompts and traits get the loss once the server is known to have ended alone.

TestUnconfirmedLossBlamesNoRequest guards sound requests whose path was cut.

--- a/internal/rwbackend/evidence.go
+++ b/internal/rwbackend/evidence.go
@@ -174,6 +174,23 @@
 	return false
 }
 
+// Neighbours returns the entries of up to limit other servers of the same service and
+// availability zone that are not leaving.
+func (d *Directory) Neighbours(e Entry, limit int) []Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var neighbours []Entry
+	for _, o := range d.services[e.Service] {
+		if len(neighbours) == limit {
+			break
+		}
+		if o.ID != e.ID && o.Zone == e.Zone && o.Address != e.Address && !o.isLeaving() {
+			neighbours = append(neighbours, o.Entry)
+		}
+	}
+	return neighbours
+}
+
 // Fate is what the directory knows of a server's process since an event.
 type Fate int
 
--- a/internal/rwentry/instance.go
+++ b/internal/rwentry/instance.go
@@ -19,6 +19,7 @@
 	"ragwortwall/internal/rwforward"
 	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwloss"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpeer"
@@ -89,28 +90,29 @@
 	Absence      rwpeer.Absence // decides which entries of instances are removed
 	Log          logr.Logger
 
-	feeds     feeds
-	directory *rwbackend.Directory
-	forwarder *rwforward.Forwarder
-	pool      rwlink.Pool
-	probe     rwlink.Prober
-	counters  rwforward.Counters
-	poison    rwpoison.Registry
-	parts     rwpart.Registry
-	limits    rwlimit.Limiter
-	moves     moves
-	suspects  quarantines
-	duties    duties
-	members   rwpeer.Members
-	exchange  rwpeer.Exchange
-	leaving   atomic.Bool
-	drained   atomic.Bool // the load balancer has noticed that the instance is shutting down
-	relay     *rwpath.Relay
-	graceEnd  atomic.Pointer[time.Time] // when requests are ended; nil while the instance is not shutting down
-	callers   rwconn.Conns
-	memory    *rwaccount.Memory
-	shares    rwaccount.Shares
-	crowded   atomic.Int64 // connections and heads that have found no room since the last log line
+	feeds      feeds
+	directory  *rwbackend.Directory
+	forwarder  *rwforward.Forwarder
+	pool       rwlink.Pool
+	probe      rwlink.Prober
+	counters   rwforward.Counters
+	poison     rwpoison.Registry
+	parts      rwpart.Registry
+	openLosses rwloss.Ledger
+	limits     rwlimit.Limiter
+	moves      moves
+	suspects   quarantines
+	duties     duties
+	members    rwpeer.Members
+	exchange   rwpeer.Exchange
+	leaving    atomic.Bool
+	drained    atomic.Bool // the load balancer has noticed that the instance is shutting down
+	relay      *rwpath.Relay
+	graceEnd   atomic.Pointer[time.Time] // when requests are ended; nil while the instance is not shutting down
+	callers    rwconn.Conns
+	memory     *rwaccount.Memory
+	shares     rwaccount.Shares
+	crowded    atomic.Int64 // connections and heads that have found no room since the last log line
 }
 
 // Run serves callers until ctx ends. It then shuts down gracefully and waits for
@@ -128,6 +130,7 @@
 	i.limits.Self, i.limits.Peers, i.limits.Count, i.limits.Log = i.Settings.Name, &i.exchange, i.counters.Increment, i.Log
 	i.poison.CrashThreshold = rwforward.QuarantineCrashes
 	i.parts.TrialRank = func(part rwpart.Key) int { return i.members.RankFor(part.String()) }
+	i.openLosses.Rule.Expiry, i.openLosses.Directory, i.openLosses.ListAge = missedHeartbeats*i.Settings.HeartbeatInterval, i.directory, i.feeds.servers.Lag
 	i.moves.instance, i.suspects.instance = i, i
 	i.exchange.Moves = &i.moves.tracker
 	i.feeds.build(i)
@@ -139,7 +142,7 @@
 		Zone: i.Settings.Zone, State: i.state, Directory: i.directory, Pool: &i.pool, Probe: &i.probe, Dialer: i.Dialer, Versions: &i.moves.tracker, Wire: i.Wire, Engines: i.Engines,
 		Finder:       &rwforward.HolderFinder{Engines: i.Engines, Directory: i.directory, Limits: &i.limits, Log: i.Log},
 		Replacements: &rwforward.ReplacementVerifier{Engines: i.Engines, Table: i.feeds.desiredState.Table, Adopt: i.feeds.serverList.AddUnlisted, Log: i.Log},
-		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, NotifyServerFull: i.exchange.AnnounceFull, Poison: &i.poison, NotifySuspicion: i.exchange.AnnounceSuspicion,
+		Budget:       &rwretry.Budget{Capacity: i.retryBudget}, NotifyRun: i.exchange.AnnounceRun, NotifyServerLost: i.exchange.AnnounceLoss, NotifyServerFull: i.exchange.AnnounceFull, Poison: &i.poison, OpenLosses: &i.openLosses, NotifySuspicion: i.exchange.AnnounceSuspicion,
 		Parts: &i.parts, NotifyParts: &i.exchange, Limits: &i.limits, Instances: i.members.Count, Usage: i.duties.usageCounter(), ShuttingDown: i.leaving.Load, GraceLeft: i.graceLeft, Drained: i.drained.Load, Ending: ending, Log: i.Log, Counters: &i.counters, Memory: i.memory,
 	}
 	backgroundCtx, stop := context.WithCancel(context.Background())
--- a/internal/rwentry/metrics.go
+++ b/internal/rwentry/metrics.go
@@ -73,8 +73,9 @@
 	Servers      []ServerDump       `json:"servers"`
 	Moves        any                `json:"moves"`
 	Suspicions   []SuspicionDump    `json:"suspicions"`
-	HeldParts    []PartDump         `json:"parts"` // parts of prompts that are held
-	BrokenPaths  []string           `json:"paths"` // services whose servers are reached through other instances
+	OpenLosses   int                `json:"losses"` // losses of servers that can't be judged yet
+	HeldParts    []PartDump         `json:"parts"`  // parts of prompts that are held
+	BrokenPaths  []string           `json:"paths"`  // services whose servers are reached through other instances
 	Duties       *DutyDump          `json:"duties,omitempty"`
 	HeapBytes    uint64             `json:"memory"` // in use
 	Goroutines   int                `json:"routines"`
@@ -109,7 +110,7 @@
 	state := i.state()
 	d := StateDump{
 		Name: i.Settings.Name, Zone: i.Settings.Zone, Ready: i.ready(), Leaving: i.leaving.Load(), Ages: map[string]float64{},
-		WatchesStore: i.feeds.watchesStore(), Peers: i.members.Count() - 1, Moves: i.moves.tracker.OwnEvidence(), BrokenPaths: i.Dialer.BrokenServices(), Duties: i.duties.dump(), HeapBytes: memory.HeapInuse, Goroutines: runtime.NumGoroutine(),
+		WatchesStore: i.feeds.watchesStore(), Peers: i.members.Count() - 1, Moves: i.moves.tracker.OwnEvidence(), OpenLosses: i.openLosses.Count(), BrokenPaths: i.Dialer.BrokenServices(), Duties: i.duties.dump(), HeapBytes: memory.HeapInuse, Goroutines: runtime.NumGoroutine(),
 	}
 	if state.Table != nil {
 		d.Version = state.Table.Version
--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -13,7 +13,6 @@
 	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
 	"ragwortwall/internal/rwrelay"
-	"ragwortwall/pkg/rwset"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -53,6 +52,9 @@
 // pathDigest identifies the organisation, host and path in log lines, so that requests can be
 // joined that differ in their query only.
 func (c *call) pathDigest() string {
+	if c.r == nil {
+		return c.digest
+	}
 	path, _, _ := strings.Cut(c.requestTarget(), "?")
 	return strconv.FormatUint(xxhash.Sum64String(c.org.Name+"\x00"+c.r.Host+"\x00"+path), 16)
 }
@@ -67,7 +69,8 @@
 	lossAccepts    lossReason = "accepts"    // its address accepts connections
 	lossLeaving    lossReason = "leaving"    // it was shutting down in order
 	lossUnlisted   lossReason = "unlisted"   // its entry was removed, so its end may have been in order
-	lossPath       lossReason = "path"       // the path of this instance to its service may have been lost
+	lossPath       lossReason = "path"       // the path of this instance to its service was lost
+	lossUnknown    lossReason = "unknown"    // nothing tells whether the server or the path to it was lost
 )
 
 // reportLoss records that an exchange with a server ended without a complete response.
@@ -77,9 +80,9 @@
 	c.lostMu.Lock()
 	c.lost.Add(server.ID)
 	c.lostMu.Unlock()
-	countedForParts := c.recordPartLoss(server, cause)
+	partLoss := c.recordPartLoss(server, cause)
 	var pending *pendingPartLoss
-	if countedForParts {
+	if partLoss != nil {
 		pending = c.f.addPartLoss(c.service.Name, at, func() { c.judgePartLoss(server, false, lossPath) })
 		if c.lostWithPath() && c.f.takePartLoss(pending) {
 			c.judgePartLoss(server, false, lossPath) // the path was found broken meanwhile
@@ -87,20 +90,26 @@
 	}
 	record := func(ended bool, reason lossReason) {
 		c.recordJudgement(server, at, progress, cause, ended, reason)
-		if countedForParts && c.f.takePartLoss(pending) {
+		if partLoss != nil && c.f.takePartLoss(pending) {
 			c.judgePartLoss(server, ended, reason)
 		}
 	}
 	time.AfterFunc(crashCheckDelay, func() {
 		ended, reason := c.judgeLoss(server, at, cause)
-		if reason == lossAccepts {
+		switch reason {
+		case lossAccepts:
 			// The process may be a new one that the store doesn't list yet.
 			time.AfterFunc(restartCheckDelay, func() {
 				record(c.judgeAccepting(server, at))
 			})
-			return
+		case lossUnknown:
+			if partLoss != nil && c.f.takePartLoss(pending) {
+				c.judgePartLoss(server, false, lossUnknown) // counted once it is known that the server ended
+			}
+			c.openLoss(server, at, progress, cause, partLoss)
+		default:
+			record(ended, reason)
 		}
-		record(ended, reason)
 	})
 }
 
@@ -128,7 +137,7 @@
 		case rwpath.ReachAccepts:
 			return false, lossAccepts
 		case rwpath.ReachUnknown:
-			return false, lossPath
+			return false, lossUnknown
 		case rwpath.ReachSilent:
 			if endedHere(cause) {
 				return false, lossAccepts
@@ -187,17 +196,7 @@
 // otherCause returns a cause other than the request for the end of a server, or an empty
 // reason. Servers that ran the request and were lost at the same time are no sign of one.
 func (c *call) otherCause(server rwbackend.Entry, at time.Time) lossReason {
-	ran := rwset.New[string]()
-	for _, loss := range c.f.Poison.Get(c.fingerprint).Losses {
-		id, _, _ := strings.Cut(loss, lossSeparator)
-		ran.Add(id)
-	}
-	c.lostMu.Lock()
-	for id := range c.lost {
-		ran.Add(id)
-	}
-	c.lostMu.Unlock()
-	if c.f.Directory.IsCorrelatedLoss(server, at, ran.Has) {
+	if c.f.Directory.IsCorrelatedLoss(server, at, c.serversLost().Has) {
 		return lossCorrelated
 	}
 	return ""
@@ -221,6 +220,10 @@
 // recordSurvival records that a server ran the request to the end, which therefore doesn't
 // crash servers. A server's failure is no sign of that: it may have come before the crash.
 func (c *call) recordSurvival(server string, status int) {
+	if dropped := c.f.OpenLosses.Drop(uint64(c.fingerprint)); dropped > 0 {
+		c.f.Counters.increment("open_losses_dropped")
+		c.f.Log.Info("open losses dropped", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "path", c.pathDigest(), "server", server, "losses", dropped)
+	}
 	s, ok := c.f.Poison.Complete(c.fingerprint)
 	if !ok {
 		return
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -16,6 +16,7 @@
 	"ragwortwall/internal/rwevidence"
 	"ragwortwall/internal/rwlimit"
 	"ragwortwall/internal/rwlink"
+	"ragwortwall/internal/rwloss"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
@@ -80,6 +81,7 @@
 	NotifyServerLost func(server string)                      // publishes the loss of a server to the other instances
 	NotifyServerFull func(server string, full rwbackend.Full) // publishes that a server is full; nil to tell nobody
 	Poison           *rwpoison.Registry
+	OpenLosses       *rwloss.Ledger           // losses of servers that can't be judged yet
 	NotifySuspicion  func(rwpoison.Suspicion) // publishes a request suspected of crashing servers
 	Parts            *rwpart.Registry
 	NotifyParts      PartNotifier
@@ -134,6 +136,7 @@
 	partTrial           int              // attempt that was admitted with a held part
 	lostMu              sync.Mutex
 	lost                rwset.Set[string] // ids of servers that were lost while they ran the request
+	digest              string            // of the path, see pathDigest; set if r is nil
 	usageCounted        bool              // a server has begun the request, see countBegun
 }
 
--- a/internal/rwforward/partloss.go
+++ b/internal/rwforward/partloss.go
@@ -71,19 +71,19 @@
 }
 
 // recordPartLoss counts the loss of a server against the parts of the prompt, at once: until
-// it is judged, the next attempt may crash another server. It reports whether it did so. A
-// response that was well under way shows that they are sound.
-func (c *call) recordPartLoss(server rwbackend.Entry, cause error) bool {
+// it is judged, the next attempt may crash another server. It returns the loss that it counted,
+// or nil if it counted none. A response that was well under way shows that they are sound.
+func (c *call) recordPartLoss(server rwbackend.Entry, cause error) *rwpart.Loss {
 	if len(c.partKeys) == 0 || c.progress.wellUnderWay() || !c.brokenByServer(cause) {
-		return false
+		return nil
 	}
 	if c.lostWithPath() {
-		return false
+		return nil
 	}
 	loss := c.partLoss(server)
 	loss.Begun = c.progress.begun() && !errors.Is(cause, errHung) && !errors.Is(cause, errUnreachable)
 	c.countPartLoss(server, loss)
-	return true
+	return &loss
 }
 
 // pendingPartLoss is a loss that recordPartLoss counted and that is not judged yet.
