An entry that can't be decoded has not expired

Callers: for up to 2.45 s after an outage of the store, a server was used on whose entry another writer had replaced by one that names no server.

Cause: each loss of an entry soon after an outage waited to be listed again, also this one, which the store has.

Change: it is removed at once. TestForeignEntryAfterOutage failed before and passes.

--- a/internal/rwfeed/servers.go
+++ b/internal/rwfeed/servers.go
@@ -90,7 +90,7 @@
 		}
 		if c.err != nil {
 			s.Log.Info("cannot decode server entry; removing the server", "server", c.Name, "cause", c.err.Error())
-			s.handleDeletionLocked(c.Name, time.Since(recoveredAt) < relistTimeout)
+			s.handleDeletionLocked(c.Name, false) // the store has it: it didn't expire
 			continue
 		}
 		delete(s.missing, c.Name)
