A loss stays open if the address accepts connections and nothing else is known

Change: the loss is open, as one that nobody can confirm. A model server that is asked and is the same process closes the matter at once.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -89,6 +89,13 @@
 		}
 	}
 	record := func(ended bool, reason lossReason) {
+		if reason == lossUnknown {
+			if partLoss != nil && c.f.takePartLoss(pending) {
+				c.judgePartLoss(server, false, lossUnknown) // counted once it is known that the server ended
+			}
+			c.openLoss(server, at, progress, cause, partLoss)
+			return
+		}
 		c.recordJudgement(server, at, progress, cause, ended, reason)
 		if partLoss != nil && c.f.takePartLoss(pending) {
 			c.judgePartLoss(server, ended, reason)
@@ -96,20 +103,12 @@
 	}
 	time.AfterFunc(crashCheckDelay, func() {
 		ended, reason := c.judgeLoss(server, at, cause)
-		switch reason {
-		case lossAccepts:
-			// The process may be a new one that the store doesn't list yet.
-			time.AfterFunc(restartCheckDelay, func() {
-				record(c.judgeAccepting(server, at))
-			})
-		case lossUnknown:
-			if partLoss != nil && c.f.takePartLoss(pending) {
-				c.judgePartLoss(server, false, lossUnknown) // counted once it is known that the server ended
-			}
-			c.openLoss(server, at, progress, cause, partLoss)
-		default:
+		if reason != lossAccepts {
 			record(ended, reason)
+			return
 		}
+		// The process may be a new one that the store doesn't list yet.
+		time.AfterFunc(restartCheckDelay, func() { record(c.judgeAccepting(server, at)) })
 	})
 }
 
@@ -167,13 +166,17 @@
 
 // judgeAccepting is judgeLoss for a server whose address accepts connections. If the directory
 // doesn't know of a new process there, as the store may be away, a server that runs models is
-// asked whether it is one.
+// asked whether it is one. Of others nothing is known: the address may be accepting for a server
+// that has ended, or for a new process.
 func (c *call) judgeAccepting(server rwbackend.Entry, since time.Time) (ended bool, reason lossReason) {
 	if c.f.Directory.Fate(server, since) == rwbackend.FateUnknown && len(c.service.Engine.Models) > 0 && server.Incarnation != 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), describeTimeout)
 		defer cancel()
-		if status, err := c.f.Engines.Describe(ctx, server.Address); err == nil && status.Incarnation > server.Incarnation {
+		switch status, err := c.f.Engines.Describe(ctx, server.Address); {
+		case err == nil && status.Incarnation > server.Incarnation:
 			return true, c.otherCause(server, since)
+		case err == nil:
+			return false, lossResponds
 		}
 	}
 	return c.judgeByDirectory(server, since)
@@ -188,9 +191,11 @@
 		return true, lossUnlisted
 	case rwbackend.FateReplaced:
 		return true, c.otherCause(server, since)
-	case rwbackend.FateResponds, rwbackend.FateUnknown:
+	case rwbackend.FateResponds:
+		return false, lossResponds
+	case rwbackend.FateUnknown:
 	}
-	return false, lossResponds
+	return false, lossUnknown
 }
 
 // otherCause returns a cause other than the request for the end of a server, or an empty
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -16,6 +16,7 @@
 	"ragwortwall/internal/rwbackend"
 	"ragwortwall/internal/rwlink"
 	"ragwortwall/internal/rwloopback"
+	"ragwortwall/internal/rwloss"
 	"ragwortwall/internal/rwpart"
 	"ragwortwall/internal/rwpath"
 	"ragwortwall/internal/rwpoison"
@@ -161,3 +162,46 @@
 		})
 	}
 }
+
+// TestLossAtAcceptingAddress guards against a crash that is left out because the address of the
+// server accepts connections again before the store lists the new process, and against a request
+// that is blamed for a broken connection to a server that runs on.
+func TestLossAtAcceptingAddress(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := rwbackend.Entry{ID: "s1", Service: "orders", Zone: "a", Address: listener.Addr().String(), Incarnation: 1}
+	for name, c := range map[string]struct {
+		later   func(d *rwbackend.Directory)
+		crashes int
+	}{
+		"a new process is listed": {func(d *rwbackend.Directory) {
+			restarted := server
+			restarted.ID, restarted.Incarnation = "s2", 2
+			d.Put(restarted)
+		}, 1},
+		"the server answers": {func(d *rwbackend.Directory) { d.RecordResponse("s1", false, time.Millisecond, rwbackend.Load{}) }, 0},
+		"the server stops in order": {func(d *rwbackend.Directory) {
+			leaving := server
+			leaving.Leaving = true
+			d.Put(leaving)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d, poison := rwbackend.NewDirectory("self"), &rwpoison.Registry{}
+			d.Put(server)
+			f := &Forwarder{Directory: d, Poison: poison, Parts: &rwpart.Registry{}, NotifySuspicion: func(rwpoison.Suspicion) {}}
+			f.OpenLosses = &rwloss.Ledger{Rule: rwloss.Rule{Expiry: time.Second}, Directory: d, ListAge: func() (time.Duration, bool) { return time.Hour, true }}
+			call := &call{f: f, r: httptest.NewRequest(http.MethodGet, "/x", nil), fingerprint: 7, lost: rwset.New[string]()}
+			call.reportLoss(server, io.ErrUnexpectedEOF)
+			const judged = crashCheckDelay + restartCheckDelay + time.Second
+			require.Eventually(t, func() bool { return f.OpenLosses.Count() == 1 }, judged, time.Millisecond)
+			require.Empty(t, poison.Get(7).Servers)
+			c.later(d)
+			require.Eventually(t, func() bool { return f.OpenLosses.Count() == 0 }, judged, time.Millisecond)
+			time.Sleep(10 * time.Millisecond) // after the last loss was taken from the list, it is recorded
+			require.Len(t, poison.Get(7).Servers, c.crashes)
+		})
+	}
+}
--- a/internal/rwforward/openloss.go
+++ b/internal/rwforward/openloss.go
@@ -25,14 +25,27 @@
 			ended, reason := lossOutcome(verdict)
 			kept.recordJudgement(server, at, progress, cause, ended, reason)
 			if partLoss != nil && verdict == rwloss.Ended {
-				loss := *partLoss
-				loss.Crashed = loss.Plain
-				kept.countPartLoss(server, loss)
+				kept.countLatePartLoss(server, *partLoss)
 			}
 		},
 	})
 }
 
+// countLatePartLoss counts the loss of a server against the parts of the prompt when it is known
+// that the server ended. It is weak evidence whatever the request was doing: the servers that are
+// just back haven't completed the sound requests yet that ran beside it. Parts that are held are
+// left out: they have had other losses, and a late one would look like a trial that failed.
+func (c *call) countLatePartLoss(server rwbackend.Entry, loss rwpart.Loss) {
+	loss.Begun, loss.Crashed = false, false
+	held := rwset.New(c.f.Parts.Held()...)
+	for n, key := range c.partKeys {
+		if !held.Has(key) {
+			c.recordLossOfPart(n, server, loss)
+		}
+	}
+	c.f.NotifyParts.AnnounceLosses(c.partKeys)
+}
+
 // lossOutcome returns whether a server has ended, by the verdict on its loss, and why the
 // request did not crash it; the reason is empty if it did.
 func lossOutcome(verdict rwloss.Verdict) (ended bool, reason lossReason) {
--- a/internal/rwforward/partloss.go
+++ b/internal/rwforward/partloss.go
@@ -156,17 +156,24 @@
 }
 
 func (c *call) countPartLoss(server rwbackend.Entry, loss rwpart.Loss) {
-	for n, key := range c.partKeys {
-		if c.f.Parts.RecordLoss(key, loss) {
-			c.f.Counters.increment("parts_held")
-			c.f.Log.Info("part held", "request", c.info.ID, "part", c.parts[n].label, "key", key.String(), "organisation", c.org.Name, "service", c.service.Name,
-				"version", server.Version, "server", server.ID, "losses", len(c.f.Parts.Get(key).Losses))
-		}
+	for n := range c.partKeys {
+		c.recordLossOfPart(n, server, loss)
 	}
 	// Others need to know at once: each may send a request with the part to another server.
 	c.f.NotifyParts.AnnounceLosses(c.partKeys)
 }
 
+// recordLossOfPart records a loss for one part.
+func (c *call) recordLossOfPart(n int, server rwbackend.Entry, loss rwpart.Loss) {
+	key := c.partKeys[n]
+	if !c.f.Parts.RecordLoss(key, loss) {
+		return
+	}
+	c.f.Counters.increment("parts_held")
+	c.f.Log.Info("part held", "request", c.info.ID, "part", c.parts[n].label, "key", key.String(), "organisation", c.org.Name, "service", c.service.Name,
+		"version", server.Version, "server", server.ID, "losses", len(c.f.Parts.Get(key).Losses))
+}
+
 // judgePartLoss publishes a loss that recordPartLoss counted once more, or withdraws it if the
 // server did not end or ended in order.
 func (c *call) judgePartLoss(server rwbackend.Entry, ended bool, reason lossReason) {
