A request that was completed before its loss is opened is not blamed later

TestLossOfCompletedRequest fails without the change. Neighbours are looked at only once a server has ended, and open losses each 0.15 s.

--- a/internal/rwforward/crash.go
+++ b/internal/rwforward/crash.go
@@ -70,6 +70,7 @@
 	lossLeaving    lossReason = "leaving"    // it was shutting down in order
 	lossUnlisted   lossReason = "unlisted"   // its entry was removed, so its end may have been in order
 	lossPath       lossReason = "path"       // the path of this instance to its service was lost
+	lossCompleted  lossReason = "completed"  // it isn't known what became of it, and another server has completed the request
 	lossUnknown    lossReason = "unknown"    // nothing tells whether the server or the path to it was lost
 )
 
@@ -93,6 +94,10 @@
 			if partLoss != nil && c.f.takePartLoss(pending) {
 				c.judgePartLoss(server, false, lossUnknown) // counted once it is known that the server ended
 			}
+			if c.completed.Load() {
+				c.recordJudgement(server, at, progress, cause, false, lossCompleted)
+				return
+			}
 			c.openLoss(server, at, progress, cause, partLoss)
 			return
 		}
@@ -225,6 +230,7 @@
 // recordSurvival records that a server ran the request to the end, which therefore doesn't
 // crash servers. A server's failure is no sign of that: it may have come before the crash.
 func (c *call) recordSurvival(server string, status int) {
+	c.completed.Store(true)
 	if dropped := c.f.OpenLosses.Drop(uint64(c.fingerprint)); dropped > 0 {
 		c.f.Counters.increment("open_losses_dropped")
 		c.f.Log.Info("open losses dropped", "request", c.info.ID, "fingerprint", c.fingerprint.String(), "path", c.pathDigest(), "server", server, "losses", dropped)
--- a/internal/rwforward/crash_test.go
+++ b/internal/rwforward/crash_test.go
@@ -205,3 +205,22 @@
 		})
 	}
 }
+
+// TestLossOfCompletedRequest guards against a sound request that is blamed for a server that ended
+// later: another server completed it before its loss was judged for the first time.
+func TestLossOfCompletedRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	server := rwbackend.Entry{ID: "s1", Service: "orders", Zone: "a", Address: listener.Addr().String(), Incarnation: 1}
+	d, poison := rwbackend.NewDirectory("self"), &rwpoison.Registry{}
+	d.Put(server)
+	f := &Forwarder{Directory: d, Poison: poison, Parts: &rwpart.Registry{}, NotifySuspicion: func(rwpoison.Suspicion) {}}
+	f.OpenLosses = &rwloss.Ledger{Directory: d, ListAge: func() (time.Duration, bool) { return 0, false }}
+	call := &call{f: f, r: httptest.NewRequest(http.MethodGet, "/x", nil), fingerprint: 7, lost: rwset.New[string]()}
+	call.reportLoss(server, io.ErrUnexpectedEOF)
+	call.recordSurvival("s2", http.StatusOK)
+	time.Sleep(crashCheckDelay + restartCheckDelay + 200*time.Millisecond)
+	require.Zero(t, f.OpenLosses.Count())
+	require.Empty(t, poison.Get(7).Losses)
+}
--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -136,6 +136,7 @@
 	partTrial           int              // attempt that was admitted with a held part
 	lostMu              sync.Mutex
 	lost                rwset.Set[string] // ids of servers that were lost while they ran the request
+	completed           atomic.Bool       // a server has run the request to the end
 	digest              string            // of the path, see pathDigest; set if r is nil
 	usageCounted        bool              // a server has begun the request, see countBegun
 }
--- a/internal/rwloss/ledger.go
+++ b/internal/rwloss/ledger.go
@@ -46,7 +46,7 @@
 const (
 	// checkInterval is the time between two checks of the open losses. A server that is back
 	// may get the request again that soon.
-	checkInterval = 100 * time.Millisecond
+	checkInterval = 150 * time.Millisecond
 	// maxOpenLosses bounds the open losses. The oldest give way.
 	maxOpenLosses = 512
 	// maxNeighbours bounds the servers by which the loss of an availability zone is recognised.
@@ -156,17 +156,26 @@
 		}
 		s.UnlistedAt = o.unlistedAt.Sub(o.At)
 	}
+	if s.Fate == rwbackend.FateReplaced || s.Fate == rwbackend.FateUnlisted {
+		s.Neighbours = o.neighbourState(directory)
+	}
+	return s
+}
+
+// neighbourState returns what is known of the neighbours that didn't run the request.
+func (o *openLoss) neighbourState(directory Directory) Neighbours {
+	state := NeighboursRun
 	for _, e := range o.neighbours {
 		if o.Ran(e.ID) {
 			continue
 		}
 		switch directory.Fate(e, o.At) {
 		case rwbackend.FateReplaced, rwbackend.FateUnlisted:
-			s.Neighbours = NeighboursEnded
+			return NeighboursEnded
 		case rwbackend.FateUnknown:
-			s.Neighbours = max(s.Neighbours, NeighboursUnknown)
+			state = NeighboursUnknown
 		case rwbackend.FateResponds, rwbackend.FateLeaving:
 		}
 	}
-	return s
+	return state
 }
