--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,10 @@
 # With instances that leave for good and new ones, in series, and keys that are taken away.
 SOAK_VISITORS := --seed 141001 --length 14s --visitors
 
+# With losses that are hard to judge: crashes of all servers of a service, cuts from the store.
+SOAK_LOSSES_CRASHES := --seed 10 --length 25s --losses
+SOAK_LOSSES_LEAVING := --seed 1 --length 25s --losses
+
 # With whoever holds the duties killed, paused, cut off and stopped in series.
 SOAK_DUTIES := --seed 12001 --length 14s --duties
 
@@ -57,7 +61,7 @@
 
 # Several runs at a time, so that they take less than two minutes.
 SOAK_JOBS := 3
-SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)" "$(SOAK_PATHS_PLANNED)" "$(SOAK_PATHS)" "$(SOAK_STOPS)" "$(SOAK_OUTSIDE)" "$(SOAK_DUTIES)" "$(SOAK_VISITORS)" $(SOAK_UPGRADE)
+SOAK_RUNS := "$(SOAK_SEEDS)" "$(SOAK_FOUND)" "$(SOAK_POISON)" "$(SOAK_PARTS)" "$(SOAK_PLANNED)" "$(SOAK_LIMITS)" "$(SOAK_LIMITS_PLANNED)" "$(SOAK_STATEMENTS)" "$(SOAK_PATHS_PLANNED)" "$(SOAK_PATHS)" "$(SOAK_STOPS)" "$(SOAK_OUTSIDE)" "$(SOAK_DUTIES)" "$(SOAK_VISITORS)" "$(SOAK_LOSSES_CRASHES)" "$(SOAK_LOSSES_LEAVING)" $(SOAK_UPGRADE)
 
 .PHONY: build demo demo-platform test unit vet unit-plain crowds race-small race-rwserve race-platform prove breaks lint tools bench measure slopes fuzz generate spin soak known-red
 
--- a/cmd/rwsoak/main.go
+++ b/cmd/rwsoak/main.go
@@ -34,6 +34,7 @@
 	Statements bool          `long:"statements" description:"have servers say that they are leaving, or how long they want no requests, and check that they get none"`
 	Duties     bool          `long:"duties" description:"also kill, pause, cut off and stop whoever holds the duties, one after the other, and check that never two instances carry them out and that they go on"`
 	Paths      bool          `long:"paths" description:"also cut instances from all servers, or from the servers and the store, and check that their callers are served"`
+	Losses     bool          `long:"losses" description:"losses that are hard to judge: a zone's instances leave for good, a request crashes all servers of a service each time that it comes (even seeds), instances are cut off from the store, and servers leave without a word just after (odd seeds); as --planned besides"`
 	Visitors   bool          `long:"visitors" description:"instances leave for good and new ones come, one after the other, while keys are taken away and the store turns an instance away; as --planned besides"`
 	Stops      bool          `long:"stops" description:"inject only stops, reloads and changes of settings, in series that overlap, and read streams on connections that are kept until they end"`
 	Outside    bool          `long:"outside" description:"also send crowds of clients outside the limits to instances with the memory of the smallest machine, and check that these live and that others are served"`
@@ -115,7 +116,7 @@
 // guarantee held. It removes the folder with the logs only if all held.
 func (o options) runSeed(ctx context.Context, seed uint64, former string) bool {
 	folder := filepath.Join(o.Logs, fmt.Sprint(seed))
-	soak := &rwsoak.Soak{Program: o.Program, Former: former, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, Paths: o.Paths, Stops: o.Stops, Visitors: o.Visitors, Outside: o.Outside, Duties: o.Duties, PlannedOnly: o.Planned}
+	soak := &rwsoak.Soak{Program: o.Program, Former: former, Logs: folder, Seed: seed, Duration: o.Length, Instances: o.Instances, ModelsPerZone: o.Models, Poison: o.Poison, Parts: o.Parts, Reads: o.Reads, Limits: o.Limits, Statements: o.Statements, Paths: o.Paths, Stops: o.Stops, Visitors: o.Visitors, Losses: o.Losses, Outside: o.Outside, Duties: o.Duties, PlannedOnly: o.Planned}
 	report, err := soak.Run(ctx)
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
--- a/internal/rwsoak/doc.go
+++ b/internal/rwsoak/doc.go
@@ -17,6 +17,7 @@
 //   - at least half of the callers are served after all faults have ended;
 //   - a request, or a part of a prompt, that crashes servers is kept from them once it is
 //     known, and sound requests with the same other parts are served;
+//   - a server whose entry was removed gets no requests from instances in touch;
 //   - a server that names a limit gets no more requests from instances in touch.
 //
 // The schedule of faults depends only on the seed and the duration.
--- a/internal/rwsoak/soak.go
+++ b/internal/rwsoak/soak.go
@@ -39,6 +39,7 @@
 	Outside       bool // crowds of clients outside the limits come, and instances have the smallest machine's limits
 	Parts         bool // requests with a part of a prompt that crashes servers are sent, all different
 	Visitors      bool // instances leave for good and new ones come, one after the other, and keys are taken away; PlannedOnly besides
+	Losses        bool // losses that are hard to judge, see lossesRun; PlannedOnly besides
 	Duties        bool // whoever holds the duties is killed, paused, cut off and stopped, one after the other
 
 	ctx            context.Context //nolint:containedctx // of the run
@@ -70,6 +71,7 @@
 	holders        int // of the duties that were disturbed
 	visitors       instanceList
 	visits         atomic.Int64 // visitors that have left
+	losses         lossesRun
 }
 
 // instanceList is a list of instances that grows.
@@ -195,6 +197,9 @@
 		holders.Go(func() { s.runVisitors(faults) })
 		holders.Go(func() { s.changeKeys(faults) })
 	}
+	if s.Losses {
+		holders.Go(func() { s.runLosses(faults) })
+	}
 	s.injectFaults(ctx)
 	endFaults()
 	holders.Wait()
@@ -208,6 +213,7 @@
 	s.checkParts()
 	s.checkLimits()
 	s.checkStatements()
+	s.checkLosses()
 	s.checkCuts()
 	s.checkMixed()
 	s.report.Prefills = s.fleet.Prefills()
@@ -240,6 +246,11 @@
 	if s.Reads {
 		s.Poison, s.fleet.CrashPath = true, poisonPath
 	}
+	if s.Losses {
+		if err := s.prepareLosses(); err != nil {
+			return err
+		}
+	}
 	if s.Parts {
 		s.fleet.CrashPart, s.fleet.RestartDelay = crashPart, poisonDownTime
 	}
@@ -302,6 +313,12 @@
 		}
 		s.limitOutside(i)
 		i.CloudAddress = cloud
+		if s.Losses {
+			i.Heartbeat = heartbeat
+		}
+		if s.inOneZone() {
+			i.Zone = standin.Zone(0)
+		}
 		s.instances = append(s.instances, i)
 		if n < zones {
 			seeds = append(seeds, i.peerProxies.control.Address)
