--- a/internal/rwloss/ledger_test.go
+++ b/internal/rwloss/ledger_test.go
@@ -158,3 +158,19 @@
 		time.Sleep(2 * checkInterval) // ends the timer
 	})
 }
+
+// BenchmarkCheck checks as many open losses as there may be, of servers of a service of 50.
+func BenchmarkCheck(b *testing.B) {
+	w := newTestWorld()
+	for n := range 50 {
+		w.directory.Put(testServer(fmt.Sprint(n), fmt.Sprint("zone-", n%5)))
+	}
+	var open []*openLoss
+	for n := range maxOpenLosses {
+		server := testServer(fmt.Sprint(n%50), fmt.Sprint("zone-", n%5))
+		open = append(open, &openLoss{Loss: Loss{Server: server, At: time.Now()}, neighbours: w.directory.Neighbours(server, maxNeighbours)})
+	}
+	for b.Loop() {
+		w.ledger.judge(open)
+	}
+}
