An instance that tries a held part tells the others before it sends the request

Cause: turns of trials are counted from when a trial is due. Once it is overdue by all turns, every instance may make one, and the others learn of it only from the loss that follows: later than a caller repeats the request. The log shows "trying a held part" at two instances 12 ms apart.

Change: the notice goes out before the request, at once; others put their trials off by one turn.

--- a/internal/rwforward/partloss.go
+++ b/internal/rwforward/partloss.go
@@ -20,6 +20,8 @@
 	// AnnounceFindings publishes that servers wrote on parts that had losses, or that losses
 	// were withdrawn.
 	AnnounceFindings(findings []rwpart.Finding)
+	// AnnounceTrial publishes that a request with parts that are held is sent as a trial.
+	AnnounceTrial(parts []rwpart.Key)
 }
 
 // wellUnderWay reports whether the response went on past its beginning.
@@ -49,6 +51,7 @@
 	switch {
 	case refusal == nil && trial:
 		c.partTrial = c.attempts + 1
+		c.f.NotifyParts.AnnounceTrial(c.partKeys) // others may get the next request with them right after
 		c.f.Log.Info("trying a held part", "request", c.info.ID, "server", server.ID, "parts", c.partNames())
 		return nil
 	case refusal == nil:
--- a/internal/rwpart/admit.go
+++ b/internal/rwpart/admit.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// putOffTrialLocked has this instance wait for a turn, as another one tries the part.
+func (r *Registry) putOffTrialLocked(part Key, now time.Time) {
+	if !r.heldLocked(part, now) {
+		return
+	}
+	e := r.entries[part]
+	if at := now.Add(e.trialTurn()); at.After(e.trialAt) {
+		e.trialAt = at
+	}
+}
+
 // Admit returns an error if a request with the parts must not be sent to a server of the
 // version, because one of them is held. If all that are held are due for a trial, it admits
 // the request as one.
--- a/internal/rwpart/finding.go
+++ b/internal/rwpart/finding.go
@@ -93,4 +93,5 @@
 	Losses []Loss    `json:"lost,omitempty"`
 	Sound  []Version `json:"sound,omitempty"` // versions whose servers wrote on past the beginning, after all losses known
 	Alive  []Process `json:"alive,omitempty"` // processes whose losses were withdrawn
+	Trial  bool      `json:"trial,omitempty"` // the part is held, and a request with it is sent as a trial
 }
--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -147,6 +147,9 @@
 	for _, version := range f.Sound {
 		r.clearLocked(f.Part, version, now)
 	}
+	if f.Trial {
+		r.putOffTrialLocked(f.Part, now)
+	}
 	return !was && r.heldLocked(f.Part, now)
 }
 
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// TestTrialElsewhere guards against two instances that try a held part at the same time: the second
+// one doesn't know of the first trial before it has crashed a server.
+func TestTrialElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r rwpart.Registry
+		parts := []rwpart.Key{part}
+		requireTrial := func(want bool) {
+			t.Helper()
+			trial, _ := r.Admit(parts, version1)
+			require.Equal(t, want, trial)
+		}
+		lose(&r, part, 1, 2, 3)
+		time.Sleep(time.Minute)
+		r.Merge(rwpart.Finding{Part: part, Trial: true})
+		requireTrial(false)
+		time.Sleep(4 * time.Second) // the other instance has told nothing, as it may be gone
+		requireTrial(true)
+	})
+}
+
 // loseAtOnce records losses of servers of five zones at the same time.
 func loseAtOnce(r *rwpart.Registry, begun bool, servers ...int) {
 	for _, n := range servers {
--- a/internal/rwpeer/parts.go
+++ b/internal/rwpeer/parts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ragwortwall/internal/rwpart"
+	"ragwortwall/pkg/rwset"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -74,6 +75,25 @@
 	}
 }
 
+// AnnounceTrial publishes at once that a request with parts, some of which are held, is sent as
+// a trial.
+func (x *Exchange) AnnounceTrial(parts []rwpart.Key) {
+	held := rwset.New(x.Parts.Held()...)
+	var findings []rwpart.Finding
+	for _, part := range parts {
+		if held.Has(part) {
+			findings = append(findings, rwpart.Finding{Part: part, Trial: true})
+		}
+	}
+	x.sendFindings(findings)
+}
+
+func (x *Exchange) sendFindings(findings []rwpart.Finding) {
+	for chunk := range chunksBySize(findings, maxNoticeBytes-partNoticeReserve) {
+		x.broadcast(x.withSender(Notice{Findings: chunk}))
+	}
+}
+
 // schedulePartsLocked schedules a flush if none is scheduled yet. Callers add to the queue
 // after it.
 func (x *Exchange) schedulePartsLocked() {
@@ -98,9 +118,7 @@
 	}
 	slices.SortFunc(losses, func(a, b rwpart.Finding) int { return cmp.Compare(len(b.Losses), len(a.Losses)) })
 	findings = append(losses[:min(len(losses), maxPartsPerFlush)], findings[:min(len(findings), maxPartsPerFlush)]...)
-	for chunk := range chunksBySize(findings, maxNoticeBytes-partNoticeReserve) {
-		x.broadcast(x.withSender(Notice{Findings: chunk}))
-	}
+	x.sendFindings(findings)
 }
 
 // chunksBySize splits findings so that each chunk takes at most size bytes when encoded.
--- a/internal/rwpeer/parts_test.go
+++ b/internal/rwpeer/parts_test.go
@@ -41,6 +41,31 @@
 	require.Eventually(t, holds(receiver, 0), waitTimeout, tick)
 }
 
+// TestTrialTold guards against instances that try a held part while another one does.
+func TestTrialTold(t *testing.T) {
+	t.Parallel()
+	a := rwpeer.Member{Name: "a", Zone: "z", NoticeAddress: rwloopback.Address()}
+	b := rwpeer.Member{Name: "b", Zone: "z", NoticeAddress: rwloopback.Address()}
+	sender, receiver := newExchange(t, a, a, b), newExchange(t, b, a, b)
+	connect(t, sender, receiver)
+	part, version := rwpart.NewKey("org", "model", "aa"), rwpart.NewVersion("v1")
+	for n := range 3 {
+		l := lossOf(n)
+		l.Plain = true
+		sender.Parts.RecordLoss(part, l)
+	}
+	sender.AnnounceLosses([]rwpart.Key{part})
+	require.Eventually(t, holds(receiver, 1), waitTimeout, tick)
+	const longestFirstTrial = 4500 * time.Millisecond // after the hold, for any key
+	time.Sleep(longestFirstTrial)                     // both may try the part now
+	trial, _ := sender.Parts.Admit([]rwpart.Key{part}, version)
+	require.True(t, trial)
+	sender.AnnounceTrial([]rwpart.Key{part})
+	time.Sleep(10 * tick)
+	trial, _ = receiver.Parts.Admit([]rwpart.Key{part}, version)
+	require.False(t, trial)
+}
+
 // TestManyHeldParts guards against notices on parts that don't fit into one packet.
 func TestManyHeldParts(t *testing.T) {
 	a := rwpeer.Member{Name: "a", Zone: "z", NoticeAddress: rwloopback.Address()}
