Beginnings of bodies don't take the room of long ones

Callers saw: a body of 1 MB refused with 503 although the long bodies that the instance held left room for it.

Cause: each body counted in the room for long bodies from its first byte, so up to 16 kB of every body that is about to be refused, and all short bodies, were missing there. Who reserves first depends on the load.

Change: only bodies that have reserved their length count there. The account of the process still bounds all.

--- a/internal/rwforward/forwarder.go
+++ b/internal/rwforward/forwarder.go
@@ -97,7 +97,7 @@
 	Memory           *rwaccount.Memory // what is held for callers is charged to it; nil for no limit
 
 	bufferedBytes atomic.Int64 // of the responses that are held in memory
-	bodyBytes     atomic.Int64 // of the bodies of requests that are held in memory
+	longBodyBytes atomic.Int64 // of the long bodies of requests that are held in memory
 
 	turns turns // of streams that wait for room
 
@@ -129,7 +129,8 @@
 	slow                *slowAttempt    // goes on beside the later attempts; nil for none
 	versionAttempt      *rwversion.Attempt
 	bufferedBytes       int64            // that this call has added to those of the Forwarder
-	bodyBytes           int64            // the same
+	bodyBytes           int64            // that the body is charged for
+	longBodyBytes       int64            // of these, what this call has added to those of the Forwarder
 	progress            responseProgress // of the current attempt
 	parts               []sharedPart     // what it may have in common with requests that crash servers
 	partKeys            []rwpart.Key     // of parts
@@ -151,8 +152,8 @@
 	}
 	defer func() {
 		f.bufferedBytes.Add(-c.bufferedBytes)
-		f.bodyBytes.Add(-c.bodyBytes)
-		f.Memory.Release(c.bufferedBytes + c.bodyBytes)
+		f.Memory.Release(c.bufferedBytes)
+		c.releaseBody()
 	}()
 	defer c.logPanic()
 	err := c.resolveRoute()
--- a/internal/rwforward/memory.go
+++ b/internal/rwforward/memory.go
@@ -19,10 +19,11 @@
 	// largest response of a plain service.
 	maxResponseBytes = 8 << 20
 	// maxBufferedBytes limits the responses that an instance holds in memory together, and the
-	// bodies of requests. It is a small part of the memory of the smallest machines.
+	// long bodies of requests. It is a small part of the memory of the smallest machines.
 	maxBufferedBytes = 16 << 20
 	// smallBodyBytes is the length up to which a body is read although others have used up
-	// maxBufferedBytes, so that senders of long bodies don't keep the usual requests away.
+	// maxBufferedBytes, so that senders of long bodies don't keep the usual requests away. It
+	// doesn't count there, so that usual requests don't keep long bodies away either.
 	smallBodyBytes = 16 << 10
 	// dropTimeout is how long the rest of a refused body is read.
 	dropTimeout = 500 * time.Millisecond
@@ -80,10 +81,9 @@
 			return n, errTooManyBodies
 		}
 		b.call.bodyBytes += int64(n)
-		b.call.f.bodyBytes.Add(int64(n))
 		return n, err
 	}
-	if b.read <= b.call.bodyBytes {
+	if b.read <= b.call.longBodyBytes {
 		return n, err
 	}
 	length := max(b.read, b.call.r.ContentLength)
@@ -96,27 +96,34 @@
 	return n, err
 }
 
-// reserveBody raises the memory that the body is charged for to a length. It reports false, and
-// changes nothing, if the bodies would hold more than maxBufferedBytes together.
+// reserveBody raises the memory that a long body is charged for to a length. It reports false, and
+// changes nothing, if the long bodies would hold more than maxBufferedBytes together.
 func (c *call) reserveBody(length int64) bool {
-	more := length - c.bodyBytes
+	more := length - c.longBodyBytes
 	for {
-		held := c.f.bodyBytes.Load()
+		held := c.f.longBodyBytes.Load()
 		if held+more > maxBufferedBytes {
 			return false
 		}
-		if c.f.bodyBytes.CompareAndSwap(held, held+more) {
+		if c.f.longBodyBytes.CompareAndSwap(held, held+more) {
 			break
 		}
 	}
-	if !c.f.Memory.Reserve(more, rwaccount.SizeLarge) {
-		c.f.bodyBytes.Add(-more)
+	if !c.f.Memory.Reserve(length-c.bodyBytes, rwaccount.SizeLarge) {
+		c.f.longBodyBytes.Add(-more)
 		return false
 	}
-	c.bodyBytes = length
+	c.bodyBytes, c.longBodyBytes = length, length
 	return true
 }
 
+// releaseBody gives back the memory that the body is charged for.
+func (c *call) releaseBody() {
+	c.f.longBodyBytes.Add(-c.longBodyBytes)
+	c.f.Memory.Release(c.bodyBytes)
+	c.bodyBytes, c.longBodyBytes = 0, 0
+}
+
 // sizeOf returns the size of a reservation for a body or an answer with a length in bytes.
 func sizeOf(length int64) rwaccount.Size {
 	if length > smallBodyBytes {
@@ -174,9 +181,7 @@
 		return errors.Trace(err)
 	}
 	c.f.Counters.increment("bodies_refused")
-	c.f.bodyBytes.Add(-c.bodyBytes)
-	c.f.Memory.Release(c.bodyBytes)
-	c.bodyBytes = 0
+	c.releaseBody()
 	_, _ = io.Copy(io.Discard, c.r.Body) // bounded by the deadline
 	return errTooManyBodies
 }
