An instance that starts keeps holds older than ten minutes

Callers saw: requests with a part that crashes servers, held for an hour, reach servers again once an instance starts more than ten minutes after the hold; at all instances, as the new one deletes the stored hold.

Cause: losses that hold nothing expire after ten minutes. Those of a stored hold are merged one by one, and until the third is in, the ones before it had expired as of now. A part without losses counts as sound.

Change: whether earlier losses have expired is judged as of the loss that is merged.

--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -249,7 +249,7 @@
 	if aliveAt, alive := r.alive.lookup(l.Process, now); alive && !l.lostAt.After(aliveAt) {
 		return // it may come back in the notice of an instance that doesn't know yet
 	}
-	e := r.entryLocked(part, now)
+	e := r.entryLocked(part, l.lostAt, now)
 	ofRequest := 0
 	for n := range e.losses {
 		known := &e.losses[n]
@@ -380,11 +380,12 @@
 	return all >= holdAfterLosses || strong >= holdAfterStrong && !sound
 }
 
-// entryLocked returns the entry of a part, and creates it if there is none. If there are too
-// many, an eighth of them is deleted: those that expired, then those with the fewest and
+// entryLocked returns the entry of a part for a loss at a time, and creates it if there is none
+// or it had expired by then: the losses of a stored hold may all be older than lossTTL. If there
+// are too many, an eighth of them is deleted: those that expired, then those with the fewest and
 // oldest losses that are not held.
-func (r *Registry) entryLocked(part Key, now time.Time) *entry {
-	if e, ok := r.entries[part]; ok && !e.expired(now) {
+func (r *Registry) entryLocked(part Key, lostAt, now time.Time) *entry {
+	if e, ok := r.entries[part]; ok && !e.expired(lostAt) {
 		return e
 	}
 	if r.entries == nil {
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -378,6 +378,26 @@
 	})
 }
 
+// TestOldHoldKnown guards against instances that start while a part is held and don't know it, as
+// all of its losses are older than those that hold nothing.
+func TestOldHoldKnown(t *testing.T) {
+	for age, held := range map[time.Duration]bool{time.Minute: true, 11 * time.Minute: true, 50 * time.Minute: true, 61 * time.Minute: false} {
+		t.Run(age.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var before, after rwpart.Registry
+				lose(&before, part, 1, 2, 3)
+				stored := before.Get(part)
+				time.Sleep(age)
+				for n := range stored.Losses {
+					stored.Losses[n].Age += age.Milliseconds()
+				}
+				after.Merge(stored)
+				requireHeld(t, &after, part, version1, held)
+			})
+		})
+	}
+}
+
 // TestPartsTogether guards against parts that always come together with one that crashes
 // servers and are taken for sound.
 func TestPartsTogether(t *testing.T) {
