Findings tell for how long a part has been held

Cause: an instance that learns of a hold from the store or a notice took it for one that begins now. So the losses of failed trials, which came with it, weren't told from those before the hold, and the intervals began again.

Change: findings, and their stored form, say for how long the part was held. Losses are merged oldest first.

--- a/internal/rwentry/parts.go
+++ b/internal/rwentry/parts.go
@@ -14,7 +14,8 @@
 // partSpec is the spec of a stored held part. Its name is the part's key.
 type partSpec struct {
 	Losses []rwpart.Loss `json:"losses"`
-	Made   int64         `json:"made"`  // Unix time of Losses, in milliseconds
+	Held   int64         `json:"held"`  // for how long it was held, in milliseconds
+	Made   int64         `json:"made"`  // Unix time of Losses and Held, in milliseconds
 	Until  int64         `json:"until"` // Unix time, in seconds
 }
 
@@ -41,7 +42,10 @@
 		for n := range spec.Losses {
 			spec.Losses[n].Age += age
 		}
-		q.instance.parts.Merge(rwpart.Finding{Part: part, Losses: spec.Losses})
+		if spec.Held > 0 {
+			spec.Held += age
+		}
+		q.instance.parts.Merge(rwpart.Finding{Part: part, Losses: spec.Losses, Held: spec.Held})
 		q.instance.Log.Info("held part received from the store", "key", c.Name, "losses", len(spec.Losses), "revision", c.Revision)
 	}
 	q.setStored(c.Name, storedQuarantine{until: until, era: c.Era})
@@ -69,7 +73,8 @@
 	now := time.Now()
 	until := now.Add(rwpart.HoldLife).Truncate(time.Second)
 	era := q.instance.Stores.Era.Current()
-	spec := partSpec{Losses: q.instance.parts.Get(part).Losses, Made: now.UnixMilli(), Until: until.Unix()}
+	finding := q.instance.parts.Get(part)
+	spec := partSpec{Losses: finding.Losses, Held: finding.Held, Made: now.UnixMilli(), Until: until.Unix()}
 	q.instance.counters.Increment("store_write_quarantines")
 	if err := q.instance.Stores.Quarantines.Put(ctx, part.String(), spec); err != nil {
 		q.instance.Log.Info("cannot store a held part, will retry", "key", part.String(), "cause", err.Error())
--- a/internal/rwpart/finding.go
+++ b/internal/rwpart/finding.go
@@ -91,6 +91,7 @@
 type Finding struct {
 	Part   Key       `json:"part"`
 	Losses []Loss    `json:"lost,omitempty"`
+	Held   int64     `json:"held,omitempty"`  // in milliseconds, for how long the part was held when the finding was made
 	Sound  []Version `json:"sound,omitempty"` // versions whose servers wrote on past the beginning, after all losses known
 	Alive  []Process `json:"alive,omitempty"` // processes whose losses were withdrawn
 	Trial  bool      `json:"trial,omitempty"` // the part is held, and a request with it is sent as a trial
--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -1,6 +1,7 @@
 package rwpart
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -136,9 +137,11 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	was := r.heldLocked(f.Part, now)
-	for _, l := range f.Losses {
+	oldestFirst := slices.SortedStableFunc(slices.Values(f.Losses), func(a, b Loss) int { return cmp.Compare(b.Age, a.Age) })
+	for _, l := range oldestFirst {
 		if lostAt := l.at(now); now.Sub(lostAt) < HoldLife {
 			r.addLocked(f.Part, recordedLoss{Loss: l, lostAt: lostAt}, now)
+			r.backdateLocked(f, now)
 		}
 	}
 	for _, process := range f.Alive {
@@ -153,6 +156,15 @@
 	return !was && r.heldLocked(f.Part, now)
 }
 
+// backdateLocked sets the beginning of a hold to that at the instance which made a finding, if
+// that is earlier: losses since then are those of trials, which this instance didn't see fail.
+func (r *Registry) backdateLocked(f Finding, now time.Time) {
+	heldSince := now.Add(-time.Duration(f.Held) * time.Millisecond)
+	if e, ok := r.entries[f.Part]; ok && e.held() && f.Held > 0 && heldSince.Before(e.heldSince) {
+		e.heldSince = heldSince
+	}
+}
+
 // RecordSound records that a server of a version wrote well past the beginning of a response
 // that began at a time, or completed it. It returns findings on the parts that had losses
 // before that, for other instances.
@@ -186,6 +198,9 @@
 			l.Age = now.Sub(l.lostAt).Milliseconds()
 			f.Losses = append(f.Losses, l.Loss)
 		}
+		if e.held() {
+			f.Held = now.Sub(e.heldSince).Milliseconds()
+		}
 	}
 	return f
 }
--- a/internal/rwpart/registry_test.go
+++ b/internal/rwpart/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -378,6 +379,52 @@
 	})
 }
 
+// TestTrialsBeforeStart guards against instances that start, take a stored hold for a new one and
+// try it again within seconds, although trials before failed. Found by soak seed 1796678846057.
+func TestTrialsBeforeStart(t *testing.T) {
+	tests := []struct {
+		name    string
+		plain   bool
+		failed  int // trials before the start
+		without time.Duration
+	}{
+		{"prompt part, one trial", false, 1, 4 * time.Minute},
+		{"prompt part, two trials", false, 2, 20 * time.Minute},
+		{"path, one trial", true, 1, 9 * time.Second},
+		{"path, two trials", true, 2, 55 * time.Second},
+		{"path, three trials", true, 3, 55 * time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var before, after rwpart.Registry
+				record := func(n int) {
+					l := loss(n)
+					l.Plain, l.Crashed = tt.plain, tt.plain
+					before.RecordLoss(part, l)
+				}
+				for n := range 3 {
+					record(n)
+					time.Sleep(apart)
+				}
+				for n := range tt.failed {
+					time.Sleep(5 * time.Minute)
+					trial, _ := before.Admit([]rwpart.Key{part}, version1)
+					require.True(t, trial)
+					record(n + 3)
+				}
+				time.Sleep(time.Second)
+				stored := before.Get(part)
+				slices.Reverse(stored.Losses) // in any order
+				after.Merge(stored)
+				for end := time.Now().Add(tt.without - time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+					requireHeld(t, &after, part, version1, true)
+				}
+			})
+		})
+	}
+}
+
 // TestOldHoldKnown guards against instances that start while a part is held and don't know it, as
 // all of its losses are older than those that hold nothing.
 func TestOldHoldKnown(t *testing.T) {
