A held part is stored again after a trial that failed

Callers would see: as before, where all instances that saw the trial fail have gone: the store had the losses up to the hold only.

Cause: a held part was stored once an hour.

Change: it is stored again when the newest loss isn't in the store: at most after each trial.

--- a/internal/rwentry/parts.go
+++ b/internal/rwentry/parts.go
@@ -48,14 +48,15 @@
 		q.instance.parts.Merge(rwpart.Finding{Part: part, Losses: spec.Losses, Held: spec.Held})
 		q.instance.Log.Info("held part received from the store", "key", c.Name, "losses", len(spec.Losses), "revision", c.Revision)
 	}
-	q.setStored(c.Name, storedQuarantine{until: until, era: c.Era})
+	q.setStored(c.Name, storedQuarantine{until: until, era: c.Era, losses: spec.Losses})
 	return nil
 }
 
-// syncParts stores the parts that are held, and deletes those that are sound again.
+// syncParts stores the parts that are held, again after each trial that failed, and deletes those
+// that are sound again.
 func (q *quarantines) syncParts(ctx context.Context) {
 	for _, part := range q.instance.parts.Held() {
-		if q.dueForWrite(part.String()) {
+		if q.dueForWrite(part.String(), q.instance.parts.Get(part).Losses) {
 			q.writePart(ctx, part)
 		}
 	}
@@ -81,7 +82,7 @@
 		return
 	}
 	q.instance.Log.Info("held part stored", "key", part.String(), "losses", len(spec.Losses), "until", spec.Until)
-	q.setStored(part.String(), storedQuarantine{until: until, era: era})
+	q.setStored(part.String(), storedQuarantine{until: until, era: era, losses: finding.Losses})
 }
 
 // storedNames returns the names of what is in the store.
--- a/internal/rwentry/quarantines.go
+++ b/internal/rwentry/quarantines.go
@@ -1,9 +1,11 @@
 package rwentry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -48,8 +50,9 @@
 
 // storedQuarantine is what is known of a quarantine in the store.
 type storedQuarantine struct {
-	until time.Time // when it ends
-	era   int64     // in which the store had it; a later era may have lost it
+	until  time.Time     // when it ends
+	era    int64         // in which the store had it; a later era may have lost it
+	losses []rwpart.Loss // of a held part
 }
 
 // quarantineSpec is the spec of a stored quarantine. Its name is the fingerprint.
@@ -125,7 +128,7 @@
 func (q *quarantines) run(ctx context.Context) {
 	rwtime.Every(ctx, quarantineSyncInterval, func() {
 		for _, s := range q.instance.poison.Rejected() {
-			if q.dueForWrite(s.Fingerprint.String()) {
+			if q.dueForWrite(s.Fingerprint.String(), nil) {
 				q.write(ctx, s)
 			}
 		}
@@ -136,12 +139,13 @@
 	})
 }
 
-// dueForWrite reports whether this instance is to store a quarantine now. Instances that
-// watch the store do so at random within one interval, so that mostly one of them does.
-func (q *quarantines) dueForWrite(name string) bool {
+// dueForWrite reports whether this instance is to store a quarantine, or a held part with some
+// losses, now. Instances that watch the store do so at random within one interval, so that
+// mostly one of them does.
+func (q *quarantines) dueForWrite(name string, losses []rwpart.Loss) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if s := q.stored[name]; time.Now().Before(s.until) && s.era >= q.instance.Stores.Era.Current() {
+	if s := q.stored[name]; time.Now().Before(s.until) && s.era >= q.instance.Stores.Era.Current() && !lacksNewest(s.losses, losses) {
 		return false
 	}
 	at, known := q.writeAt[name]
@@ -158,6 +162,15 @@
 	return !time.Now().Before(at)
 }
 
+// lacksNewest reports whether the newest of the known losses isn't among those stored.
+func lacksNewest(stored, known []rwpart.Loss) bool {
+	if len(known) == 0 {
+		return false
+	}
+	newest := slices.MinFunc(known, func(a, b rwpart.Loss) int { return cmp.Compare(a.Age, b.Age) })
+	return !slices.ContainsFunc(stored, func(l rwpart.Loss) bool { return l.Process == newest.Process })
+}
+
 // write stores a quarantine. After a failure it is tried again at the next interval.
 func (q *quarantines) write(ctx context.Context, s rwpoison.Suspicion) {
 	ctx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
