A hold that is too young for trials begins when an instance learns of it

Change: only the hold that an instance newly learns of is moved back, and only by more than the time in which no loss counts as one of a trial.

--- a/internal/rwpart/registry.go
+++ b/internal/rwpart/registry.go
@@ -141,7 +141,9 @@
 	for _, l := range oldestFirst {
 		if lostAt := l.at(now); now.Sub(lostAt) < HoldLife {
 			r.addLocked(f.Part, recordedLoss{Loss: l, lostAt: lostAt}, now)
-			r.backdateLocked(f, now)
+			if !was {
+				r.backdateLocked(f, now)
+			}
 		}
 	}
 	for _, process := range f.Alive {
@@ -156,12 +158,13 @@
 	return !was && r.heldLocked(f.Part, now)
 }
 
-// backdateLocked sets the beginning of a hold to that at the instance which made a finding, if
-// that is earlier: losses since then are those of trials, which this instance didn't see fail.
+// backdateLocked sets the beginning of a hold that this instance learns of to that at the instance
+// which made the finding: losses since then are those of trials, which this one didn't see fail. A
+// hold that is too young for trials begins now, as requests sent before it was known are on the way.
 func (r *Registry) backdateLocked(f Finding, now time.Time) {
-	heldSince := now.Add(-time.Duration(f.Held) * time.Millisecond)
-	if e, ok := r.entries[f.Part]; ok && e.held() && f.Held > 0 && heldSince.Before(e.heldSince) {
-		e.heldSince = heldSince
+	heldFor := time.Duration(f.Held) * time.Millisecond
+	if e, ok := r.entries[f.Part]; ok && e.held() && heldFor > holdSettleTime {
+		e.heldSince = now.Add(-heldFor)
 	}
 }
 
